Keep a request that its client left until the module has heard so

A client that left took its request out of the driver's table at once, while the module learned of it only with the next batch. A send that the module decided in between met no entry and was dropped without an outcome, so the place it took at its server (and in the sum over all servers) was never free again.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -214,10 +214,18 @@
         }
         let mut actions = std::mem::take(&mut self.actions);
         for event in std::mem::take(&mut self.batch) {
+            let ends = match &event {
+                Event::ClientGone(id) => Some(*id),
+                Event::AttemptEnded(end) => Some(end.id),
+                _ => None,
+            };
             self.gateway.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.act(now, action);
             }
+            // Not before the module has heard: until then it may send for this request, and each of its sends
+            // must be told its end, or the place that it takes at a server is never free again.
+            ends.into_iter().for_each(|id| self.tidy(id));
         }
         self.actions = actions;
     }
@@ -235,7 +243,6 @@
                 if let Some(open) = self.requests.get_mut(&id).filter(|open| open.reply.is_some()) {
                     open.reply = None;
                     self.batch.push(Event::ClientGone(id));
-                    self.tidy(id);
                 }
             }
             Input::Members(list) => {
@@ -254,7 +261,6 @@
                     let _ = reply.send(Answer::Served(body));
                 }
                 self.ended(id, attempt, server, ended.outcome, took);
-                self.tidy(id);
             }
         }
     }
@@ -397,3 +403,46 @@
 fn duration(span: Micros) -> Duration {
     Duration::from_micros(span.0)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::{HeaderMap, Method, Uri};
+
+    const CONFIG: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","counter":"127.0.0.1:1",
+        "seed":"1","known":{"revision":1,"complete":true,"members":[
+            {"id":"s-1","host_port":"127.0.0.1:1","locality":"a","phase":"ready"}]},
+        "settings":{"balancers":2,"my_number":0,"tick":4000,"zone":"a","zones":["a"],
+            "bounds":{"max_attempts":3},"specifics":{"counter":true,"count_limit":30000,"units_top":4},
+            "classes":[{"name":"look","effect":"pure","deadline":4000000,"on_time":1000000}],
+            "plans":[{"name":"team","per_second":10.0,"peak_units":20.0,"price":1.0}],"rules":{}}}"#;
+
+    fn driver() -> Driver {
+        let config = Config::parse(CONFIG, None, None).expect("a configuration");
+        Driver::new(config, Clock::start(), Rc::default()).expect("settings")
+    }
+
+    fn take(driver: &mut Driver, id: RequestId) -> oneshot::Receiver<Answer> {
+        let (reply, answer) = oneshot::channel();
+        let deadline = driver.clock.now() + Micros(4_000_000);
+        let arrival = Arrival { id, deadline, units: 1.0, spread: 1, ..Arrival::default() };
+        let (headers, body) = (HeaderMap::new(), Bytes::new());
+        let forward = Forward { method: Method::GET, uri: Uri::from_static("/api"), headers, body };
+        driver.take(Input::Taken(Box::new(Taken { arrival, forward, reply })));
+        answer
+    }
+
+    #[test]
+    fn a_send_for_a_client_that_left_unheard_is_told_its_end() {
+        let mut driver = driver();
+        let (id, server) = (RequestId(7), *driver.backends.keys().next().expect("a backend"));
+        let _answer = take(&mut driver, id);
+        driver.take(Input::Gone(id));
+        let now = driver.clock.now();
+        driver.act(now, Action::Send(id, server, now + Micros(1_000_000)));
+        let told = driver.batch.iter().any(|event| {
+            matches!(event, Event::AttemptEnded(end) if end.id == id && end.outcome == Outcome::Moot && end.ended)
+        });
+        assert!(told, "the module never hears of it: {:?}", driver.batch);
+    }
+}
