Close a client connection on which no whole head has come for 2.1 s

A connection that sent nothing, or half a request, held one of the places for clients for 120 s (a broken-off body for 5 s more). With 256 descriptors there are 128 places; silent peers took them all within the first minute and everybody else waited in the accept backlog until they gave up.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -23,10 +23,12 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tracing::{debug, warn};
 
-/// A connection on which no request's head comes for so long is closed.
-const LONGEST_IDLE: Duration = Duration::from_secs(120);
-/// A body must come within this.
-const BODY_TIME: Duration = Duration::from_secs(5);
+/// A connection on which no whole head comes for so long is closed, whether it has carried a request or not:
+/// silent peers must not hold the places of clients. It may stand idle for 2 s.
+const HEAD_TIME: Duration = Duration::from_millis(2100);
+/// A body must come within this. With the time for the head it stays below the 3 s within which a peer that
+/// sends half a request is owed an error or a close.
+const BODY_TIME: Duration = Duration::from_millis(700);
 /// The pause after an accept that failed, which it does at once while descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long after SIGTERM new connections are taken; they go on coming for 0.4 s.
@@ -131,7 +133,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(LONGEST_IDLE)
+        .header_read_timeout(HEAD_TIME)
         .max_buf_size(2 * MAX_BODY)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -136,6 +136,24 @@
     assert_eq!(node.client().ask(&good).status(), 200, "it goes on");
 }
 
+#[test]
+fn a_peer_that_sends_nothing_or_half_a_request_is_not_waited_for() {
+    let (backend, _discovery, counter, node) = before(|_| http("200 OK", "ok"));
+    let good = request("buy", 2000);
+    let mut used = node.client();
+    assert_eq!(used.ask(&good).status(), 200);
+    let peers = ["", "POST /api?cust", &good[..good.len() - 3]].map(|part| {
+        let mut peer = node.client();
+        peer.send(part);
+        peer
+    });
+    // A read that meets neither an answer nor a close fails after `LIMIT`, and so does the test.
+    for mut peer in peers.into_iter().chain([used]) {
+        assert!(peer.ends_or_errs(), "neither an error nor a close");
+    }
+    assert_eq!((backend.requests().len(), counter.requests().len()), (1, 1), "nothing of it goes on");
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_attempt_along() {
     let (backend, _discovery, _counter, node) = before(|_| Reply::Silence);
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -315,6 +315,15 @@
         self.stream.write_all(text.as_bytes()).ok()?;
         self.answer()
     }
+    /// Whether the connection ends, or an error comes, before the limit on reads.
+    pub fn ends_or_errs(&mut self) -> bool {
+        let mut told = String::new();
+        match self.reader.read_line(&mut told) {
+            Ok(0) => true,
+            Ok(_) => told.starts_with("HTTP/1.1 4") || told.starts_with("HTTP/1.1 5"),
+            Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
     pub fn ask(&mut self, text: &str) -> Message {
         self.send(text);
         self.answer().expect("an answer")
