Read the configuration again at SIGHUP, and ask discovery and the counter anew

Now the file is read again: discovery is watched at its new address, from the whole list on, and calls to the counter go to the new one; calls under way end where they were made. The environment's address is that of the start, so the file's goes before it.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -134,11 +134,40 @@
     }
 }
 
+/// What a running gateway takes over from a configuration read again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Services {
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// Where the counter listens, if there is one.
+    pub counter: Option<SocketAddr>,
+}
+
+/// The configuration file's path and text.
+fn file() -> Result<(String, String), ConfigError> {
+    let path = env::var("NODE_CONFIG").map_err(|_| ConfigError("NODE_CONFIG is not set".into()))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{path}: {e}")))?;
+    Ok((path, text))
+}
+
 impl Config {
+    /// Where the services are that a gateway asks.
+    pub fn services(&self) -> Services {
+        Services { discovery: self.discovery, counter: self.counter }
+    }
+
+    /// Reads the file again. Its addresses count now: the environment is still that of the start.
+    pub fn reload() -> Result<Services, ConfigError> {
+        let (path, text) = file()?;
+        // Where it listens does not change, and may be known from the environment alone.
+        let listen = Some(SocketAddr::from(([0, 0, 0, 0], 0)));
+        let config = Config::parse(&text, listen, None).map_err(|e| ConfigError(format!("{path}: {e}")))?;
+        Ok(config.services())
+    }
+
     /// Reads the environment and the file that it names.
     pub fn from_environment() -> Result<Config, ConfigError> {
-        let path = env::var("NODE_CONFIG").map_err(|_| ConfigError("NODE_CONFIG is not set".into()))?;
-        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{path}: {e}")))?;
+        let (path, text) = file()?;
         let address = |name: &str| match env::var(name) {
             Err(_) => Ok(None),
             Ok(text) => text
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -35,6 +35,7 @@
 pub struct Counter {
     address: SocketAddr,
     timeout: Duration,
+    connections: usize,
     idle: RefCell<Vec<Connection>>,
     lines: Semaphore,
 }
@@ -42,7 +43,13 @@
 impl Counter {
     /// Calls go over at most so many connections and are given up after `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration, connections: usize) -> Counter {
-        Counter { address, timeout, idle: RefCell::default(), lines: Semaphore::new(connections) }
+        let lines = Semaphore::new(connections);
+        Counter { address, timeout, connections, idle: RefCell::default(), lines }
+    }
+
+    /// The way to the counter at another address, over new connections.
+    pub fn moved(&self, address: SocketAddr) -> Counter {
+        Counter::new(address, self.timeout, self.connections)
     }
 
     /// Makes one call. An unanswered one closes its connection, so that a late answer meets no later call.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -11,6 +11,7 @@
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
@@ -57,6 +58,8 @@
     Gone(RequestId),
     /// News of the backends.
     Members(MemberList),
+    /// Calls to the counter go to this address from now on.
+    Counter(SocketAddr),
     /// A call to the counter ended.
     Counted(CountName, u64, Counted),
     /// An attempt ended: its request, number and backend, how, and how long it was out.
@@ -249,6 +252,10 @@
                 self.members(list);
                 self.become_ready();
             }
+            Input::Counter(address) => {
+                // Calls under way end where they were made.
+                self.counter = self.counter.take().map(|counter| Rc::new(counter.moved(address)));
+            }
             Input::Counted(name, serial, counted) => {
                 let ready = self.order.answered(name, serial, counted);
                 self.batch.extend(ready.into_iter().map(|c| Event::Counted(name, c.outcome, c.total)));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,8 +8,8 @@
 pub mod http;
 pub mod server;
 
-use config::{Config, ConfigError};
-use driver::{Clock, Driver};
+use config::{Config, ConfigError, Services};
+use driver::{Clock, Driver, Inbox, Input};
 use server::Front;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -39,11 +39,34 @@
 }
 impl std::error::Error for RunError {}
 
-/// Runs a gateway until `stopping` turns true and all that it took is answered.
-pub async fn run(config: Config, stopping: watch::Receiver<bool>) -> Result<(), RunError> {
+/// Watches discovery, and after a change of the services' addresses asks both at the new ones.
+async fn follow(mut services: watch::Receiver<Services>, inbox: Inbox) {
+    loop {
+        let discovery = services.borrow_and_update().discovery;
+        tokio::select! {
+            () = discovery::watch(discovery, inbox.clone()) => return,
+            changed = services.changed() => if changed.is_err() {
+                return;
+            },
+        }
+        let counter = services.borrow().counter;
+        if let Some(address) = counter {
+            // Without a driver the gateway ends.
+            let _ = inbox.send(Input::Counter(address)).await;
+        }
+    }
+}
+
+/// Runs a gateway until `stopping` turns true and all that it took is answered. It asks discovery and the
+/// counter at the addresses that `services` holds last.
+pub async fn run(
+    config: Config,
+    services: watch::Receiver<Services>,
+    stopping: watch::Receiver<bool>,
+) -> Result<(), RunError> {
     let clock = Clock::start();
     let ready = Rc::new(Cell::new(false));
-    let (listen, discovery, sockets) = (config.listen, config.discovery, config.sockets);
+    let (listen, sockets) = (config.listen, config.sockets);
     let classes = config.site.classes.iter().map(|(name, &i)| {
         let class = &config.site.settings.classes[i];
         (name.clone(), (crate::api::ClassId(i), class.effect, class.deadline))
@@ -56,7 +79,7 @@
     let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
     info!(name, %address, "listening");
-    tokio::task::spawn_local(discovery::watch(discovery, inbox.clone()));
+    tokio::task::spawn_local(follow(services, inbox.clone()));
     let driving = tokio::task::spawn_local(driver.run());
     let front = Front { inbox, clock, ready, classes, plans, last: Cell::new(0), stopping };
     // Guards against living on without a driver, taking requests that nobody decides.
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -273,10 +273,13 @@
         stream.set_read_timeout(Some(LIMIT)).expect("a socket");
         Client { reader: BufReader::new(stream.try_clone().expect("a socket")), stream }
     }
-    pub fn terminate(&self) {
-        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
         assert!(sent.expect("kill runs").success());
     }
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
     /// Waits for the end and returns the exit code.
     pub fn ended(&mut self) -> Option<i32> {
         let until = Instant::now() + LIMIT;
