Let go of the closing channel's lock before a connection carries on at SIGTERM

The select arm that hears the first word after SIGTERM kept the guard which `wait_for` returns while the connection went on with its request. 0.6 s later the word to close all blocked on that lock, on the one thread that would have let it go: the whole gateway froze, and all that it had taken was lost.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -137,11 +137,16 @@
         .max_buf_size(2 * MAX_BODY)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let to_close = async {
+        // What this returns locks the channel; held while the connection carries on, it would block whoever
+        // says the next word on it.
+        drop(closing.wait_for(|closing| *closing > since).await);
+    };
     let done = tokio::select! {
         biased;
         done = connection.as_mut() => done,
         // It carries on with what it is at.
-        _ = closing.wait_for(|closing| *closing > since) => {
+        () = to_close => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
