Fail what is still open shortly before the end after SIGTERM

The program left 3.5 s after SIGTERM whatever was open: a request whose class waits longer was taken, never answered and lost. At 3.2 s what is open is failed now, its attempts called off, and then the program ends.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -33,7 +33,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long after SIGTERM new connections are taken; they go on coming for 0.4 s.
 const LAST_CALL: Duration = Duration::from_millis(600);
-/// After SIGTERM all must be answered by then; SIGKILL comes 3.7 s on at the earliest.
+/// After SIGTERM what is still open by the first is failed, so that all is answered by the second; SIGKILL
+/// comes 3.7 s on at the earliest.
+const LAST_WAIT: Duration = Duration::from_millis(3200);
 const LAST_ANSWER: Duration = Duration::from_millis(3500);
 
 /// What all connections of clients share.
@@ -60,15 +62,17 @@
     }
 }
 
-/// Which idle connections are to be closed.
+/// Which connections are to be closed.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Closing {
     None,
     /// Those from before SIGTERM. New ones are still taken, so a client whose request crosses the closing
     /// comes back on one of them.
     Old,
-    /// All: the last call is over.
+    /// All idle ones: the last call is over.
     All,
+    /// Those with a request open as well, which is failed: its backend may answer too late.
+    Open,
 }
 
 /// Takes clients until SIGTERM, answers what was taken, and returns.
@@ -97,9 +101,13 @@
     }
     drop(listener);
     close.send_replace(Closing::All);
-    let left = LAST_ANSWER.saturating_sub(last_call.map_or(Duration::ZERO, |at| at.elapsed()));
+    let left = |by: Duration| by.saturating_sub(last_call.map_or(Duration::ZERO, |at| at.elapsed()));
     let all = u32::try_from(connections).unwrap_or(u32::MAX);
-    if timeout(left, places.acquire_many(all)).await.is_err() {
+    if timeout(left(LAST_WAIT), places.acquire_many(all)).await.is_ok() {
+        return;
+    }
+    close.send_replace(Closing::Open);
+    if timeout(left(LAST_ANSWER), places.acquire_many(all)).await.is_err() {
         warn!("some connections were still open at the end");
     }
 }
@@ -121,15 +129,16 @@
     }
 }
 
-async fn connection(stream: TcpStream, front: Rc<Front>, mut closing: watch::Receiver<Closing>) {
+async fn connection(stream: TcpStream, front: Rc<Front>, closing: watch::Receiver<Closing>) {
+    let mut word = closing.clone();
     let since = *closing.borrow();
     if let Err(error) = stream.set_nodelay(true) {
         debug!(%error, "a client went at once");
         return;
     }
     let service = service_fn(|request| {
-        let front = front.clone();
-        async move { Ok::<_, Infallible>(respond(request, &front).await) }
+        let (front, closing) = (front.clone(), closing.clone());
+        async move { Ok::<_, Infallible>(respond(request, &front, closing).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -140,7 +149,7 @@
     let to_close = async {
         // What this returns locks the channel; held while the connection carries on, it would block whoever
         // says the next word on it.
-        drop(closing.wait_for(|closing| *closing > since).await);
+        drop(word.wait_for(|closing| *closing > since).await);
     };
     let done = tokio::select! {
         biased;
@@ -156,13 +165,17 @@
     }
 }
 
-async fn respond(request: Request<Incoming>, front: &Front) -> Response<Full<Bytes>> {
+async fn respond(
+    request: Request<Incoming>,
+    front: &Front,
+    closing: watch::Receiver<Closing>,
+) -> Response<Full<Bytes>> {
     let mut response = match request.uri().path() {
         "/_health" => match front.ready.get() && !front.is_stopping() {
             true => plain(StatusCode::OK, "ready\n"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
-        "/api" => match take(request, front).await {
+        "/api" => match take(request, front, closing).await {
             Ok(answer) => answer,
             Err((status, problem)) => plain(status, problem),
         },
@@ -203,7 +216,11 @@
     }
 }
 
-async fn take(request: Request<Incoming>, front: &Front) -> Result<Response<Full<Bytes>>, Malformed> {
+async fn take(
+    request: Request<Incoming>,
+    front: &Front,
+    mut closing: watch::Receiver<Closing>,
+) -> Result<Response<Full<Bytes>>, Malformed> {
     let (head, body) = request.into_parts();
     let asked = Asked::read(&head.method, head.uri.query(), &head.headers, front)?;
     let body = timeout(BODY_TIME, Limited::new(body, MAX_BODY).collect()).await;
@@ -224,9 +241,17 @@
     let (reply, answer) = oneshot::channel();
     let taken = Taken { arrival: Arrival { id, deadline, ..asked.arrival }, forward, reply };
     let mut watch = Watch { inbox: &front.inbox, id, answered: false };
-    let told = front.inbox.send(Input::Taken(Box::new(taken))).await.is_ok();
-    let answer = if told { answer.await.unwrap_or(Answer::Failed) } else { Answer::Failed };
-    watch.answered = true;
+    // Without a driver the answer's sender is gone with the request.
+    let _ = front.inbox.send(Input::Taken(Box::new(taken))).await;
+    let answer = tokio::select! {
+        biased;
+        answer = answer => {
+            watch.answered = true;
+            answer.unwrap_or(Answer::Failed)
+        }
+        // To the driver it is as if the client had left.
+        _ = closing.wait_for(|closing| *closing == Closing::Open) => Answer::Failed,
+    };
     Ok(match answer {
         Answer::Served(body) => Response::new(Full::new(body)),
         Answer::Refused(wait) => {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -289,6 +289,20 @@
     assert_eq!(node.ended(), Some(0));
 }
 
+#[test]
+fn at_sigterm_what_no_backend_answers_is_failed_before_the_end() {
+    let (backend, _discovery, _counter, mut node) = before(|_| Reply::Silence);
+    let mut client = node.client();
+    client.send(&request("once", 4000));
+    let mut patient = node.client();
+    patient.send(&request("buy", 8000));
+    backend.wait_for("the attempts", |log| log.requests.len() == 2);
+    node.terminate();
+    assert_eq!(client.answer().expect("an answer").status(), 502);
+    assert_eq!(patient.answer().expect("an answer").status(), 502);
+    assert_eq!(node.ended(), Some(0));
+}
+
 #[test]
 fn a_request_that_crosses_the_closing_at_sigterm_is_answered_on_a_new_connection() {
     use std::sync::atomic::{AtomicUsize, Ordering};
