Close a counter connection whose answer held no number

Such a connection went back among the idle ones, and the next call was written to it, though it is of no further use. Its amount stands as added, as before.

--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -76,11 +76,13 @@
             wrote.set(true);
             match connection.call(self.request(name, amount, life)).await {
                 Ok(response) => {
-                    if connection.is_usable() {
+                    let counted = reading(response.status(), response.body());
+                    // Guards against taking what is left of a broken answer for the next call's.
+                    if counted.outcome != Outcome::Error && connection.is_usable() {
                         connection.idle_since = Instant::now();
                         self.idle.borrow_mut().push(connection);
                     }
-                    return reading(response.status(), response.body());
+                    return counted;
                 }
                 Err(CallError::NotSent) if reused => wrote.set(false),
                 Err(CallError::NotSent) => return Outcome::ConnectFailed.into(),
