Turn away requests that no client of this site can have sent

A head with a customer of 2^33 or more, units of nothing or beyond the largest request, or a set that the site does not have was taken for a request and sent to up to six servers in turn.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -73,6 +73,7 @@
     });
     let classes = classes.collect();
     let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
+    let (gateways, most_units) = (config.site.settings.gateways, config.site.settings.most_units);
     let name = config.name.clone();
     let driver = Driver::new(config, clock, ready.clone()).map_err(RunError::Config)?;
     let inbox = driver.inbox();
@@ -81,7 +82,8 @@
     info!(name, %address, "listening");
     tokio::task::spawn_local(follow(services, inbox.clone()));
     let driving = tokio::task::spawn_local(driver.run());
-    let front = Front { inbox, clock, ready, classes, plans, last: Cell::new(0), stopping };
+    let last = Cell::new(0);
+    let front = Front { inbox, clock, ready, classes, plans, gateways, most_units, last, stopping };
     // Guards against living on without a driver, taking requests that nobody decides.
     tokio::select! {
         () = server::serve(listener, Rc::new(front), sockets.clients) => Ok(()),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -50,6 +50,10 @@
     pub classes: HashMap<String, (ClassId, Effect, Micros)>,
     /// The names of plans.
     pub plans: HashMap<String, PlanId>,
+    /// How many gateways there are.
+    pub gateways: u32,
+    /// The units of the largest request.
+    pub most_units: f64,
     /// The number of the last request.
     pub last: Cell<u64>,
     /// Set by SIGTERM.
@@ -232,6 +236,9 @@
         Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body broke off\n")),
         Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
     };
+    if head.method == Method::GET && !body.is_empty() {
+        return Err((StatusCode::BAD_REQUEST, "a GET carries no body\n"));
+    }
     // The request's time runs from its last byte.
     let deadline = front.clock.now() + asked.budget;
     let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
@@ -290,8 +297,12 @@
         let budget = budget.ok_or_else(|| bad("X-Budget-Ms: expected whole milliseconds\n"))?;
         let (units, spread) = named("x-quota")
             .and_then(quota)
-            .ok_or_else(|| bad("X-Quota: expected units, spread and first\n"))?;
-        if headers.get("x-call-id").is_none_or(|id| id.is_empty()) {
+            .filter(|quota| quota.units <= front.most_units)
+            .filter(|quota| quota.spread <= front.gateways && quota.first < front.gateways)
+            .map(|quota| (quota.units, quota.spread))
+            .ok_or_else(|| bad("X-Quota: expected the units, spread and first of this site\n"))?;
+        let mut ids = headers.get_all("x-call-id").iter();
+        if ids.next().is_none_or(|id| id.is_empty()) || ids.next().is_some() {
             return Err(bad("X-Call-Id: expected an id\n"));
         }
         let (wanted, keyed) = match effect {
@@ -320,22 +331,32 @@
     }
 }
 
+/// Customers are numbers below this.
+const CUSTOMERS: u64 = 1 << 33;
+
 fn customer(query: &str) -> Option<CustomerId> {
     let digits = query.split('&').find_map(|pair| pair.strip_prefix("customer="))?;
     let hex = digits.len() == 16 && digits.bytes().all(|b| b.is_ascii_hexdigit());
-    u64::from_str_radix(digits, 16).ok().filter(|_| hex).map(CustomerId)
+    let number = u64::from_str_radix(digits, 16).ok().filter(|_| hex)?;
+    (number < CUSTOMERS).then_some(CustomerId(number))
+}
+
+/// What `X-Quota` says.
+struct Quota {
+    units: f64,
+    spread: u32,
+    first: u32,
 }
 
-/// Units and spread.
-fn quota(value: &str) -> Option<(f64, u32)> {
+fn quota(value: &str) -> Option<Quota> {
     let (mut units, mut spread, mut first) = (None, None, None);
     for part in value.split(',') {
         match part.trim().split_once('=')? {
-            ("units", v) => units = v.parse::<f64>().ok().filter(|u| u.is_finite() && *u >= 0.0),
+            ("units", v) => units = v.parse::<f64>().ok().filter(|u| u.is_finite() && *u > 0.0),
             ("spread", v) => spread = v.parse::<u32>().ok().filter(|s| *s > 0),
             ("first", v) => first = v.parse::<u32>().ok(),
             _ => {}
         }
     }
-    first.and(units).zip(spread)
+    Some(Quota { units: units?, spread: spread?, first: first? })
 }
