Take units that go back with the next call off the known total only once

A refused request's units that nobody else could use are owed to the counter and go back with the next call. They were also taken off the last total at once, so a full window looked to have room for them: the gateway asked again for each request, and its local share let more go beyond the quota.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -424,10 +424,10 @@
         if c.window.span != span {
             return;
         }
-        c.window.seen -= units;
-        let total = c.window.seen;
+        let total = c.window.seen - units;
         // Nobody could use a scrap of room: then it goes back with the next call.
         if self.breaker.opened.is_none() && self.room(customer, total) >= 1.0 {
+            self.customers.get_mut(&customer).into_iter().for_each(|c| c.window.seen = total);
             self.call(Purpose::Window, customer, None, -units);
         } else if let Some(c) = self.customers.get_mut(&customer) {
             c.window.owed -= units;
--- a/tests/window.rs
+++ b/tests/window.rs
@@ -175,3 +175,15 @@
     let (alone, beside) = (passed(0.0), passed(12.0));
     assert!(alone * 4 > beside * 5, "{alone} against {beside}");
 }
+
+#[test]
+fn units_to_be_given_back_later_are_taken_off_once() {
+    let mut rig = Rig::new(settings(), 4);
+    with_total(&mut rig, 1.0, 40.0);
+    rig.pass(2 * S); // A full window before: nothing is left over.
+    let (id, out) = with_total(&mut rig, 4.0, 24.0);
+    assert!(refused(&out, id) && adds(&out).is_empty(), "nobody could use what goes back: {out:?}");
+    // Others have spent the whole allowance of 20.
+    let (id, out) = rig.request(0, 0, 1, 3.0);
+    assert!(refused(&out, id) && adds(&out).is_empty(), "known full: {out:?}");
+}
