--- a/src/rules.rs
+++ b/src/rules.rs
@@ -378,6 +378,7 @@
         if current {
             tally.posting -= call.extra;
         }
+        let added = matches!(outcome, Outcome::Ok | Outcome::Error);
         let mut heard = None;
         if outcome == Outcome::Ok {
             if current {
@@ -399,13 +400,17 @@
             self.ask = (self.ask * ASK_GROW).min(1.0).max(if call.probe { ASK_AGAIN } else { 0.0 });
             self.last_failed = None;
             self.breaker.success(call.probe);
-            if let Some(r) = call.request.and_then(|id| self.requests.get_mut(&id)) {
-                r.counted = (call.purpose == Purpose::Window).then_some(call.span);
-            }
         } else {
             tally.owed += if current && outcome.never_ran() { call.extra } else { 0.0 };
+            // An answer without a number: the amount was added all the same.
+            if current && added {
+                (tally.posted, tally.seen) = (tally.posted + call.amount, tally.seen + call.amount);
+            }
             self.call_failed(call.customer, call.probe);
         }
+        if let Some(r) = call.request.and_then(|id| self.requests.get_mut(&id)).filter(|_| added) {
+            r.counted = (call.purpose == Purpose::Window).then_some(call.span);
+        }
         if let Some(id) = call.request {
             self.decide(id, call.purpose, heard);
         }
@@ -441,7 +446,7 @@
         }
         let Some(r) = self.requests.get(&id) else { return };
         let (customer, units, plan) = (r.a.customer, r.a.units, r.a.plan.0);
-        let (resent, done) = (r.a.resent, r.done);
+        let (resent, done, added) = (r.a.resent, r.done, r.counted.is_some());
         let ok = match heard {
             _ if done => return,
             // Under a ceiling what a counter forgot is paid off first.
@@ -450,7 +455,7 @@
             Some(_) => false,
             // A repeat was refused a moment ago, here or elsewhere: it must be heard.
             None if resent && !self.silent(customer) => false,
-            None => self.beyond_take(customer, plan, units) && self.local_take(customer, plan, units),
+            None => self.beyond_take(customer, plan, units) && self.local_take(customer, plan, units, added),
         };
         match ok {
             true => self.ask_place(id),
@@ -474,7 +479,7 @@
     /// with this gateway's part of what the customer's store was last known to hold; under a ceiling,
     /// `beyond_take` stands before it and does start empty. Guards against refusing customers with few units,
     /// for whom a share that starts empty admits nothing for seconds.
-    fn local_take(&mut self, customer: CustomerId, plan: usize, units: f64) -> bool {
+    fn local_take(&mut self, customer: CustomerId, plan: usize, units: f64, added: bool) -> bool {
         let (now, most_units, p) = (self.now, self.set.most_units, &self.set.plans[plan]);
         let Some(c) = self.customers.get(&customer) else { return false };
         let left = self.room(customer, c.window.known()).max(0.0);
@@ -486,7 +491,7 @@
         let (level, depth) = ((left * share).max(most_units), (p.burst * share).max(most_units));
         let rate = p.rate * share;
         let ok = c.bucket.get_or_insert(TokenBucket { level, depth, rate, at: now }).take(now, units);
-        c.window.owed += if ok { units } else { 0.0 };
+        c.window.owed += if ok && !added { units } else { 0.0 };
         ok
     }
 
--- a/tests/window.rs
+++ b/tests/window.rs
@@ -187,3 +187,15 @@
     let (id, out) = rig.request(0, 0, 1, 3.0);
     assert!(refused(&out, id) && adds(&out).is_empty(), "known full: {out:?}");
 }
+
+#[test]
+fn an_answer_without_a_number_was_added_and_is_not_added_again() {
+    let mut rig = Rig::new(settings(), 4);
+    let (_, out) = rig.request(0, 0, 1, 2.0);
+    let out = rig.tell(Event::Counted(adds(&out)[0].0, Outcome::Error, 0.0));
+    assert_eq!(sends(&out).len(), 1, "the local bucket lets it go on");
+    let next = (0..50).find_map(|_| adds(&rig.request(0, 0, 1, 1.0).1).first().map(|a| a.1));
+    // Those that went unasked in between are owed; the two units are not.
+    let unasked = rig.next - 3;
+    assert_eq!(next.expect("somebody asks"), 1.0 + unasked as f64);
+}
