Give clients all descriptors that backends and the counter leave

Clients had half of the descriptors. What was kept back for nobody in particular, a quarter less what the counter has, is theirs now, but for a sixteenth.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -128,9 +128,13 @@
 
 impl SocketLimits {
     fn of(sockets: usize) -> SocketLimits {
-        // The rest, at least a sixteenth, is for standard streams, the listener, epoll and discovery.
+        // A sixteenth, at least 12, is for standard streams, the listener, epoll, signals and discovery. Clients
+        // have all that is left: beside theirs, up to a third, stand those of peers that send nothing, each
+        // until its time is up.
         let counter = (sockets / 16).clamp(1, 32);
-        SocketLimits { clients: (sockets / 2).max(1), backends: (sockets / 4).max(1), counter }
+        let backends = (sockets / 4).max(1);
+        let clients = sockets.saturating_sub(backends + counter + (sockets / 16).max(12)).max(1);
+        SocketLimits { clients, backends, counter }
     }
 }
 
@@ -217,3 +221,19 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn clients_have_what_the_others_leave_and_the_sum_fits() {
+        for sockets in [24, 256, 384, 1024] {
+            let limits = SocketLimits::of(sockets);
+            let all = limits.clients + limits.backends + limits.counter;
+            assert!(all + 11 <= sockets, "{sockets}: {limits:?}");
+            // A third is for clients; as much again may be held by peers that send nothing.
+            assert!(sockets < 256 || limits.clients * 8 >= sockets * 5, "{sockets}: {limits:?}");
+        }
+    }
+}
