Tell clients that are shed before the servers when to come back

A request refused by adaptive throttling got its answer at once but without a Retry-After, which the operators want with every request given up where the settings allow one. It gets that of other refusals now.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -247,7 +247,7 @@
         self.requests.insert(id, Request { a: Arrival { resent, ..a }, arrived: now, ..Request::default() });
         self.roll(customer);
         if self.shed(id) {
-            return self.finish(id, Some(Action::Refuse(id, None))); // Not for its quota: no retry-after.
+            return self.refuse(id);
         }
         match self.set.plans[plan].rate > 0.0 {
             true => self.ask_window(id),
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -61,6 +61,33 @@
     assert!(refusals(700 * MS) > 100, "one at a time, never two out, and still it sheds");
 }
 
+#[test]
+fn who_is_shed_is_told_when_to_come_back() {
+    let mut rig = one_of(200, 3, 50);
+    for _ in 0..200 {
+        let (id, server) = loop {
+            rig.pass(2 * S);
+            let (id, out) = wide(&mut rig, false);
+            // Shed before anything is asked of the counter.
+            if let [Action::Refuse(_, advice)] =
+                out.iter().filter(|a| matches!(a, Action::Refuse(..))).collect::<Vec<_>>()[..]
+            {
+                assert!(adds(&out).is_empty() && advice.is_some(), "{out:?}");
+                return;
+            }
+            let out = rig.tell(Event::Counted(adds(&out)[0].0, Outcome::Ok, 2.0));
+            if let Some(&(_, server)) = sends(&out).first() {
+                break (id, server);
+            }
+        };
+        rig.pass(700 * MS);
+        let (outcome, report, took) = (Outcome::Ok, Report::default(), Micros(700 * MS));
+        let end = AttemptEnd { id, attempt: 0, server, outcome, took, ended: true, settled: None, report };
+        rig.tell(Event::AttemptEnded(end));
+    }
+    panic!("nobody was shed");
+}
+
 #[test]
 fn while_calls_fail_repeats_are_not_guessed_but_first_tries_are() {
     let mut rig = one_of(200, 3, 50);
