Read at most 32 KiB of a request's head

A connection could buffer 128 KiB of a head, and the smallest machine has 160 places for clients and 32 MB: peers with endless heads could fill it. A head of a client's takes less than 1 KiB; what goes beyond 32 KiB gets an error.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -29,6 +29,9 @@
 /// A body must come within this. With the time for the head it stays below the 3 s within which a peer that
 /// sends half a request is owed an error or a close.
 const BODY_TIME: Duration = Duration::from_millis(700);
+/// The longest head, and what is read ahead of a body. With bodies of 64 KiB, places for 160 clients stay within
+/// half of the 32 MB that the smallest machine has.
+const MAX_HEAD: usize = 32 * 1024;
 /// The pause after an accept that failed, which it does at once while descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long after SIGTERM new connections are taken; they go on coming for 0.4 s.
@@ -147,7 +150,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIME)
-        .max_buf_size(2 * MAX_BODY)
+        .max_buf_size(MAX_HEAD)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let to_close = async {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -161,6 +161,17 @@
     assert_eq!((backend.requests().len(), counter.requests().len()), (1, 1), "nothing of it goes on");
 }
 
+#[test]
+fn a_head_without_measure_is_not_read_to_its_end() {
+    let (backend, _discovery, _counter, node) = before(|_| http("200 OK", "ok"));
+    let pad = format!("X-Pad: {}\r\nX-Plan", "p".repeat(48 * 1024));
+    let mut peer = node.client();
+    peer.send(&request("look", 2000).replace("X-Plan", &pad));
+    assert!(peer.ends_or_errs(), "neither an error nor a close");
+    assert_eq!(backend.requests().len(), 0);
+    assert_eq!(node.client().ask(&request("look", 2000)).status(), 200, "it goes on");
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_attempt_along() {
     let (backend, _discovery, _counter, node) = before(|_| Reply::Silence);
