Learn from a kept connection that breaks how long to keep the others

The pool kept every connection for half of that limit. Where one breaks as it is used again, others are kept for half the time that it had stood idle, 100 ms at least; what was learned fades by a twentieth a second.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -17,6 +17,9 @@
 pub const BUDGET: HeaderName = HeaderName::from_static("x-budget-ms");
 const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
 
+/// However early kept connections break, one that stood idle for no longer than this is used again.
+const LEAST_IDLE: Duration = Duration::from_millis(100);
+
 /// A client's request as it goes on to backends.
 #[derive(Debug)]
 pub struct Forward {
@@ -88,15 +91,19 @@
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     places: Semaphore,
     dial_timeout: Duration,
-    longest_idle: Duration,
+    /// How long a connection may stand idle and be used again: half of what is known to be safe, less where
+    /// connections broke earlier.
+    longest_idle: Cell<Duration>,
+    idle_limit: Duration,
 }
 
 impl Pool {
     /// A pool that holds at most so many connections, those in use included.
     pub fn new(connections: usize, dial_timeout: Duration, conn_idle: Duration) -> Pool {
         // Guards against writing to a connection that its backend is about to close: half the time is left.
-        let longest_idle = conn_idle / 2;
-        Pool { idle: RefCell::default(), places: Semaphore::new(connections), dial_timeout, longest_idle }
+        let idle_limit = conn_idle / 2;
+        let (idle, places) = (RefCell::default(), Semaphore::new(connections));
+        Pool { idle, places, dial_timeout, longest_idle: Cell::new(idle_limit), idle_limit }
     }
 
     /// The connection used last is taken first, so that those not needed age and are retired.
@@ -104,7 +111,7 @@
         let mut idle = self.idle.borrow_mut();
         let stack = idle.get_mut(&address)?;
         while let Some(mut connection) = stack.pop() {
-            if connection.idle_since.elapsed() < self.longest_idle && connection.is_usable() {
+            if connection.idle_since.elapsed() < self.longest_idle.get() && connection.is_usable() {
                 return Some(connection);
             }
         }
@@ -118,10 +125,20 @@
         }
     }
 
-    /// Closes idle connections that are old or were closed by the other side.
+    /// Guards against backends that drop idle connections, unheard, long before their limit: where one broke
+    /// as it was used again, others must not stand idle for so long.
+    fn broke(&self, idle: Duration) {
+        if idle >= LEAST_IDLE {
+            self.longest_idle.set(self.longest_idle.get().min((idle / 2).max(LEAST_IDLE)));
+        }
+    }
+
+    /// Closes idle connections that are old or were closed by the other side. What was learned of how long
+    /// they last fades.
     pub fn retire(&self) {
+        self.longest_idle.set((self.longest_idle.get() * 21 / 20).min(self.idle_limit));
         self.idle.borrow_mut().retain(|_, stack| {
-            stack.retain_mut(|c| c.idle_since.elapsed() < self.longest_idle && c.is_usable());
+            stack.retain_mut(|c| c.idle_since.elapsed() < self.longest_idle.get() && c.is_usable());
             !stack.is_empty()
         });
     }
@@ -188,6 +205,7 @@
             if !backend.open.get() {
                 return Outcome::Moot.into();
             }
+            let idle = connection.idle_since.elapsed();
             // From here on the attempt may have run, for all that a caller who stops waiting can know.
             wrote.set(true);
             match connection.call(request.request(until)).await {
@@ -198,7 +216,12 @@
                 // Guards against a pooled connection that was closed just before it was written to.
                 Err(CallError::NotSent) if reused => wrote.set(false),
                 Err(CallError::NotSent) => return Outcome::ConnectFailed.into(),
-                Err(CallError::Broken) => return Outcome::Reset.into(),
+                Err(CallError::Broken) => {
+                    if reused {
+                        self.broke(idle);
+                    }
+                    return Outcome::Reset.into();
+                }
             }
         }
     }
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -55,6 +55,25 @@
     assert_eq!(seen[1].connection, seen[0].connection, "it went out on the kept connection");
 }
 
+#[test]
+fn where_a_kept_connection_broke_others_are_not_kept_so_long() {
+    let seen = std::sync::atomic::AtomicUsize::new(0);
+    let stub = Stub::start(move |_| match seen.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
+        1 => Reply::RawThenClose(String::new()),
+        _ => http("200 OK", "ok"),
+    });
+    let (pool, backend) = (Pool::new(8, LONG, LONG), backend(&stub));
+    let idle = Duration::from_millis(400);
+    on_runtime(async {
+        for outcome in [Outcome::Ok, Outcome::Reset, Outcome::Ok, Outcome::Ok] {
+            assert_eq!(attempt(&pool, &backend, LONG).await.outcome, outcome);
+            tokio::time::sleep(idle).await;
+        }
+    });
+    let connections: Vec<usize> = stub.requests().iter().map(|r| r.connection).collect();
+    assert_eq!(connections, [0, 0, 1, 2], "after the break none is used that stood idle for as long");
+}
+
 #[test]
 fn an_attempt_given_up_or_called_off_leaves_no_connection_open() {
     let stub = Stub::start(|_| Reply::Silence);
