--- a/src/api.rs
+++ b/src/api.rs
@@ -2,10 +2,11 @@
 //!
 //! Nothing here decides. Ids carry no meaning beyond equality and order.
 
+use serde::{Deserialize, Serialize};
 use std::ops::{Add, Sub};
 
 /// A point in time or a span, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Micros(pub u64);
 
 impl Micros {
@@ -35,7 +36,7 @@
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident, $inner:ty) => {
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub $inner);
     };
 }
@@ -172,7 +173,7 @@
 }
 
 /// Whether a server takes new work, as the list tells it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Listed {
     /// It takes work.
     InService,
@@ -312,6 +313,8 @@
     AttemptEnded(AttemptEnd),
     /// An operator takes a server out, whatever the list says of it, or puts it back.
     Maintenance(ServerId, bool),
+    /// The other process of this gateway is gone.
+    Alone,
 }
 
 /// What a gateway does.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,5 @@
 #![doc = include_str!("../README.md")]
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod api;
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -2,6 +2,7 @@
 
 use super::figures::Figures;
 use super::http::{CallError, Connection};
+use super::share::Share;
 use crate::api::Outcome;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -12,7 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{oneshot, Semaphore};
+use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// How long the client waits; to a backend: how long this gateway does.
@@ -91,7 +92,7 @@
 /// The connections to all backends.
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
-    places: Semaphore,
+    places: Share,
     dial_timeout: Duration,
     /// How long a connection may stand idle and be used again: half of what is known to be safe, less where
     /// connections broke earlier.
@@ -110,7 +111,7 @@
     ) -> Pool {
         // Guards against writing to a connection that its backend is about to close: half the time is left.
         let idle_limit = conn_idle / 2;
-        let (idle, places) = (RefCell::default(), Semaphore::new(connections));
+        let (idle, places) = (RefCell::default(), Share::new(connections));
         Pool { idle, places, dial_timeout, longest_idle: Cell::new(idle_limit), idle_limit, figures }
     }
 
@@ -164,6 +165,14 @@
         }
     }
 
+    /// Leaves so many quarters of the connections to the other process of this gateway.
+    pub fn leave(&self, quarters: usize) {
+        self.places.leave(self.places.all() * quarters / 4);
+        while self.held() > self.places.free() {
+            self.evict();
+        }
+    }
+
     fn held(&self) -> usize {
         self.idle.borrow().values().map(Vec::len).sum()
     }
@@ -178,8 +187,8 @@
         called_off: oneshot::Receiver<()>,
     ) -> Ended {
         // Guards the limit on descriptors: an attempt without a place was never sent.
-        let Ok(_place) = self.places.try_acquire() else { return Outcome::Moot.into() };
-        while self.held() > self.places.available_permits() {
+        let Some(_place) = self.places.try_take() else { return Outcome::Moot.into() };
+        while self.held() > self.places.free() {
             self.evict();
         }
         let wrote = Cell::new(false);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,11 +1,13 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
 use crate::settings::{flatten, Fields, Site};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::env;
 use std::fmt;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
+use std::path::PathBuf;
 
 /// A configuration that a gateway can't start with; one plain line.
 #[derive(Debug)]
@@ -25,7 +27,7 @@
 }
 
 /// Discovery's form of the list of backends, whole or as changes.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct MemberList {
     /// The list's version.
     pub revision: u64,
@@ -37,7 +39,7 @@
 }
 
 /// One backend, as discovery tells of it.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Member {
     /// Its name, the same at every gateway.
     pub id: String,
@@ -64,7 +66,7 @@
 }
 
 /// Whether a backend takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
     /// It takes work.
@@ -108,6 +110,10 @@
     pub(crate) counter: Option<SocketAddr>,
     /// Where operators call, if they do.
     pub(crate) ops: Option<SocketAddr>,
+    /// The clients' listening socket, where it is inherited.
+    pub(crate) accept_fd: Option<RawFd>,
+    /// The folder that a process of this gateway shares with the one that takes its place.
+    pub(crate) folder: Option<PathBuf>,
     pub(crate) seed: u64,
     pub(crate) known: MemberList,
     pub(crate) site: Site,
@@ -186,8 +192,16 @@
                 .map_err(|_| ConfigError(format!("{name}: expected an address and a port, found '{text}'"))),
         };
         let ops = address("NODE_OPS")?;
+        let accept_fd = match env::var("NODE_ACCEPT_FD") {
+            Err(_) => None,
+            Ok(text) => Some(text.parse().ok().filter(|fd| *fd > 2).ok_or_else(|| {
+                ConfigError(format!("NODE_ACCEPT_FD: expected the number of a descriptor, found '{text}'"))
+            })?),
+        };
+        let folder = env::var_os("TMPDIR").map(PathBuf::from);
+        let name = env::var("NODE_NAME").unwrap_or_default();
         Config::parse(&text, address("NODE_LISTEN")?, address("NODE_DISCOVERY")?)
-            .map(|c| Config { name: env::var("NODE_NAME").unwrap_or_default(), ops: ops.or(c.ops), ..c })
+            .map(|c| Config { name, ops: ops.or(c.ops), accept_fd, folder, ..c })
             .map_err(|e| ConfigError(format!("{path}: {e}")))
     }
 
@@ -220,6 +234,8 @@
             discovery: discovery.or(document.discovery).ok_or_else(|| missing("discovery"))?,
             counter: document.counter,
             ops: document.ops,
+            accept_fd: None,
+            folder: None,
             seed,
             known: document.known,
             dial_timeout: span("bounds.dial_timeout", 250_000)?,
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -1,6 +1,7 @@
 //! The shared counter: calls over a few connections, each made once, their answers told in order.
 
 use super::http::{CallError, Connection};
+use super::share::Share;
 use crate::api::{CountName, Micros, Outcome};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -9,7 +10,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::Semaphore;
 use tokio::time::{timeout, Instant};
 use tracing::warn;
 
@@ -37,13 +37,13 @@
     timeout: Duration,
     connections: usize,
     idle: RefCell<Vec<Connection>>,
-    lines: Semaphore,
+    lines: Share,
 }
 
 impl Counter {
     /// Calls go over at most so many connections and are given up after `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration, connections: usize) -> Counter {
-        let lines = Semaphore::new(connections);
+        let lines = Share::new(connections);
         Counter { address, timeout, connections, idle: RefCell::default(), lines }
     }
 
@@ -52,6 +52,12 @@
         Counter::new(address, self.timeout, self.connections)
     }
 
+    /// Leaves so many quarters of the connections to the other process of this gateway.
+    pub fn leave(&self, quarters: usize) {
+        self.lines.leave(self.connections * quarters / 4);
+        self.idle.borrow_mut().truncate(self.lines.free());
+    }
+
     /// Makes one call. An unanswered one closes its connection, so that a late answer meets no later call.
     pub async fn add(&self, name: CountName, amount: f64, life: Micros) -> Counted {
         let wrote = Cell::new(false);
@@ -63,8 +69,7 @@
     }
 
     async fn exchange(&self, name: CountName, amount: f64, life: Micros, wrote: &Cell<bool>) -> Counted {
-        // The semaphore is never closed.
-        let Ok(_line) = self.lines.acquire().await else { return Outcome::Moot.into() };
+        let _line = self.lines.take().await;
         loop {
             let (mut connection, reused) = match self.take() {
                 Some(connection) => (connection, true),
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,10 +2,11 @@
 //! its request table sees to it that every request gets exactly one final answer.
 
 use super::backend::{Backend, Ended, Forward, Pool};
-use super::config::{Config, ConfigError, MemberList, Phase};
+use super::config::{Config, ConfigError, Member, MemberList, Phase};
 use super::counter::{Counted, Counter, Order};
 use super::drain::Duty;
 use super::figures::{Figures, Fleet};
+use super::handover::{Will, Word};
 use crate::api::*;
 use crate::rules::Gateway;
 use crate::settings::Site;
@@ -18,7 +19,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, Instant};
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 /// How many inputs may wait for the driver; whoever has one more waits with it.
 const INBOX: usize = 1024;
@@ -47,9 +48,29 @@
         id: String,
         /// Out, or back.
         out: bool,
+        /// The other process of this gateway has heard already.
+        relayed: bool,
         /// Told whether there is such a backend, once it is done.
         done: oneshot::Sender<bool>,
     },
+    /// Another process takes this gateway over; these words go to it.
+    HandOver {
+        /// The way to it.
+        words: mpsc::Sender<Word>,
+        /// Told what it must know.
+        done: oneshot::Sender<Box<Will>>,
+    },
+    /// This process takes the gateway over from another.
+    TakeOver {
+        /// What that one left.
+        will: Box<Will>,
+        /// The way to it.
+        words: mpsc::Sender<Word>,
+        /// Told when the module has heard.
+        done: oneshot::Sender<()>,
+    },
+    /// The other process is gone.
+    Alone(oneshot::Sender<()>),
 }
 
 /// The final answer to a client.
@@ -147,6 +168,11 @@
     counter: Option<Rc<Counter>>,
     order: Order,
     backends: HashMap<ServerId, Rc<Backend>>,
+    /// The list of backends as it was last told.
+    listed: HashMap<ServerId, Member>,
+    revision: u64,
+    /// The way to the other process of this gateway, while there is one.
+    other: Option<mpsc::Sender<Word>>,
     requests: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(Micros, TimerId)>>,
     batch: Vec<Event>,
@@ -184,6 +210,9 @@
             counter: counter.map(Rc::new),
             order: Order::default(),
             backends: HashMap::new(),
+            listed: HashMap::new(),
+            revision: 0,
+            other: None,
             requests: HashMap::new(),
             timers: BinaryHeap::new(),
             batch: Vec::new(),
@@ -272,7 +301,7 @@
                 // An operator who has left needs no answer.
                 let _ = reply.send(Fleet { known, excluded });
             }
-            Control::Maintain { id, out, done } => {
+            Control::Maintain { id, out, relayed, done } => {
                 let server = self.site.seen(&id);
                 let server = server.filter(|s| self.backends.contains_key(s) || self.gateway.is_out(*s));
                 if let Some(server) = server {
@@ -280,12 +309,45 @@
                     self.backends.get(&server).into_iter().for_each(|b| self.pool.forget(b.address));
                     self.batch.push(Event::Maintenance(server, out));
                     self.turn();
+                    // The other process still sends to backends as well.
+                    let other = self.other.as_ref().filter(|_| !relayed);
+                    let told = other.map(|other| other.try_send(Word::Maintain { id, out }));
+                    told.filter(Result::is_err).into_iter().for_each(|_| warn!("an order was not passed on"));
                 }
                 let _ = done.send(server.is_some());
             }
+            Control::HandOver { words, done } => {
+                self.share(Some(words), 3);
+                self.turn();
+                let members = self.listed.values().cloned().collect();
+                let members = MemberList { revision: self.revision, complete: true, members };
+                let _ = done.send(Box::new(Will { members, estate: self.gateway.hand_over() }));
+            }
+            Control::TakeOver { will, words, done } => {
+                self.share(Some(words), 1);
+                if will.members.revision > self.revision {
+                    self.members(will.members);
+                }
+                self.turn();
+                self.gateway.take_over(will.estate);
+                let _ = done.send(());
+            }
+            Control::Alone(done) => {
+                self.share(None, 0);
+                self.batch.push(Event::Alone);
+                self.turn();
+                let _ = done.send(());
+            }
         }
     }
 
+    /// Leaves so many quarters of the connections to the other process of this gateway.
+    fn share(&mut self, other: Option<mpsc::Sender<Word>>, quarters: usize) {
+        self.other = other;
+        self.pool.leave(quarters);
+        self.counter.iter().for_each(|counter| counter.leave(quarters));
+    }
+
     /// Translates what came in to an event of the module's.
     fn take(&mut self, input: Input) {
         match input {
@@ -336,6 +398,10 @@
     fn members(&mut self, list: MemberList) {
         let scope = if list.complete { ListScope::Whole } else { ListScope::Changes };
         debug!(revision = list.revision, complete = list.complete, entries = list.members.len(), "members");
+        self.revision = list.revision;
+        if list.complete {
+            self.listed.clear();
+        }
         let mut entries = Vec::with_capacity(list.members.len());
         for member in list.members {
             let server = self.site.server(&member.id);
@@ -368,7 +434,9 @@
             });
             if listed == Listed::Gone {
                 self.backends.remove(&server);
+                self.listed.remove(&server);
             } else {
+                self.listed.insert(server, member);
                 self.backends.insert(server, Rc::new(backend));
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,16 +8,21 @@
 pub mod drain;
 pub mod driver;
 pub mod figures;
+pub mod handover;
 pub mod http;
+mod inherit;
 pub mod ops;
 pub mod server;
+mod share;
 
 use config::{Config, ConfigError, Services};
-use drain::{Duty, Stage};
+use drain::{Duty, End};
 use driver::{Clock, Driver, Inbox, Input};
 use figures::Figures;
+use handover::Succession;
 use ops::Desk;
 use server::Front;
+use share::Share;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -77,6 +82,7 @@
     names.sort_by_key(|(_, i)| *i);
     let figures = Rc::new(Figures::new(names.into_iter().map(|(name, _)| name.clone())));
     let (listen, ops, sockets) = (config.listen, config.ops, config.sockets);
+    let (accept_fd, folder) = (config.accept_fd, config.folder.clone());
     let classes = config.site.classes.iter().map(|(name, &i)| {
         let class = &config.site.settings.classes[i];
         (name.clone(), (crate::api::ClassId(i), class.effect, class.deadline))
@@ -88,29 +94,54 @@
     let (driver, orders) =
         Driver::new(config, clock, duty.clone(), figures.clone()).map_err(RunError::Config)?;
     let inbox = driver.inbox();
-    let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
+    let listener = match accept_fd {
+        Some(number) => inherit::listener(number).and_then(TcpListener::from_std),
+        None => TcpListener::bind(listen).await,
+    };
+    let listener = listener.map_err(|e| RunError::Listen(listen, e))?;
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
     if let Some(ops) = ops {
         let listener = TcpListener::bind(ops).await.map_err(|e| RunError::Listen(ops, e))?;
         let ops = listener.local_addr().map_err(|e| RunError::Listen(ops, e))?;
         info!(%ops, "operators");
-        let desk = Desk { orders, figures: figures.clone(), duty: duty.clone() };
+        let desk = Desk { orders: orders.clone(), figures: figures.clone(), duty: duty.clone() };
         tokio::task::spawn_local(ops::serve(listener, Rc::new(desk)));
     }
     info!(name, %address, "listening");
     let ends = duty.clone();
     tokio::task::spawn_local(async move {
         if stopping.wait_for(|stop| *stop).await.is_ok() {
-            ends.end(Stage::Stopping);
+            ends.end(End::Stopping);
         }
     });
     tokio::task::spawn_local(follow(services, inbox.clone()));
     let driving = tokio::task::spawn_local(driver.run());
     let last = Cell::new(0);
-    let front = Front { inbox, clock, duty, figures, classes, plans, gateways, most_units, last };
+    let places = Rc::new(Share::new(sockets.clients));
+    let (elsewhere, left) = watch::channel(0);
+    // Only an inherited socket can be shared with the process that takes this one's place.
+    let succession = folder.filter(|_| accept_fd.is_some()).map(|folder| {
+        let places = places.clone();
+        let held = Rc::new(move || places.taken());
+        Rc::new(Succession::new(folder, address, orders, duty.clone(), held, elsewhere))
+    });
+    let front =
+        Front { inbox, clock, duty: duty.clone(), figures, classes, plans, gateways, most_units, last };
+    let serving = async {
+        if let Some(succession) = succession {
+            // Until then the process before this one takes the clients.
+            let mut state = duty.changes();
+            if state.wait_for(|state| state.listed).await.is_ok() {
+                succession.inherit().await;
+            }
+            tokio::task::spawn_local(succession.bequeath());
+        }
+        duty.serve();
+        server::serve(listener, Rc::new(front), places, left).await;
+    };
     // Guards against living on without a driver, taking requests that nobody decides.
     tokio::select! {
-        () = server::serve(listener, Rc::new(front), sockets.clients) => Ok(()),
+        () = serving => Ok(()),
         _ = driving => Err(RunError::Driver),
     }
 }
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -98,7 +98,7 @@
         ["backends", id, order @ ("maint" | "ready")] if posting => {
             let (id, out) = (id.to_string(), *order == "maint");
             info!(id, order, "an operator's order");
-            match ask(desk, |done| Control::Maintain { id, out, done }).await {
+            match ask(desk, |done| Control::Maintain { id, out, relayed: false, done }).await {
                 Some(true) => plain(StatusCode::OK, "done\n"),
                 Some(false) => plain(StatusCode::NOT_FOUND, "no such backend\n"),
                 None => late(),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,10 +2,11 @@
 
 use super::backend::{strip_hop_by_hop, Forward, BUDGET};
 use super::crowd::{Busy, Crowd, SWEEP_EVERY};
-use super::drain::{Duty, Stage};
+use super::drain::{self, Duty};
 use super::driver::{Answer, Clock, Inbox, Input, Taken};
 use super::figures::{End, Figures, Ticket};
 use super::http::MAX_BODY;
+use super::share::Share;
 use crate::api::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,11 +21,10 @@
 use std::convert::Infallible;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, Semaphore};
+use tokio::sync::{oneshot, watch};
 use tokio::time::{interval, sleep, sleep_until, timeout, Instant};
 use tracing::{debug, warn};
 
@@ -67,11 +67,16 @@
 }
 
 /// Takes clients until SIGTERM, answers what was taken, and returns.
-pub async fn serve(listener: TcpListener, front: Rc<Front>, connections: usize) {
-    let places = Arc::new(Semaphore::new(connections));
+pub async fn serve(
+    listener: TcpListener,
+    front: Rc<Front>,
+    places: Rc<Share>,
+    mut elsewhere: watch::Receiver<usize>,
+) {
     let crowd = Rc::new(Crowd::new(front.duty.clone()));
-    let mut stage = front.duty.changes();
-    let mut last_call: Option<Instant> = None;
+    let mut state = front.duty.changes();
+    let stops = || front.duty.state().end > drain::End::Open;
+    let mut last_call = stops().then(Instant::now);
     let mut sweep = interval(SWEEP_EVERY);
     // Accepted, without a place yet.
     let mut waiting: Option<TcpStream> = None;
@@ -79,15 +84,14 @@
         let room = waiting.is_some();
         tokio::select! {
             biased;
-            accepted = listener.accept(), if !room => match accepted {
+            accepted = listener.accept(), if !room && !front.duty.is_replaced() => match accepted {
                 Ok((stream, _)) => waiting = Some(stream),
                 Err(error) => {
                     warn!(%error, "accept failed");
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
-            // The semaphore is never closed.
-            Ok(place) = places.clone().acquire_owned(), if room => {
+            place = places.take(), if room => {
                 if let Some(stream) = waiting.take() {
                     let (front, crowd) = (front.clone(), crowd.clone());
                     tokio::task::spawn_local(async move {
@@ -98,25 +102,27 @@
             }
             () = sleep(MAKE_ROOM_EVERY), if room => crowd.make_room(),
             _ = sweep.tick() => crowd.sweep(),
-            Ok(()) = stage.changed() => {
+            Ok(()) = elsewhere.changed() => places.leave(*elsewhere.borrow_and_update()),
+            Ok(()) = state.changed() => {
                 crowd.sweep();
-                if last_call.is_none() && front.duty.stage() >= Stage::Stopping {
+                if last_call.is_none() && stops() {
                     last_call = Some(Instant::now());
                 }
             }
+            // Where another process takes the new connections, none is left to wait for.
+            () = std::future::ready(()), if !room && last_call.is_some() && front.duty.is_replaced() => break,
             () = sleep_until(last_call.unwrap_or_else(Instant::now) + LAST_CALL), if last_call.is_some() => break,
         }
     }
     drop(listener);
-    let all = u32::try_from(connections).unwrap_or(u32::MAX);
-    let mut left = pin!(places.acquire_many(all));
+    let mut empty = pin!(places.empty());
     let last_call = last_call.unwrap_or_else(Instant::now);
     loop {
         tokio::select! {
-            _ = &mut left => return,
+            () = &mut empty => return,
             _ = sweep.tick() => crowd.sweep(),
-            () = sleep_until(last_call + LAST_WAIT), if front.duty.stage() < Stage::Ending => {
-                front.duty.end(Stage::Ending);
+            () = sleep_until(last_call + LAST_WAIT), if front.duty.state().end < drain::End::Ending => {
+                front.duty.end(drain::End::Ending);
             }
             () = sleep_until(last_call + LAST_ANSWER) => return warn!("some connections were still open"),
         }
@@ -172,7 +178,7 @@
 
 async fn respond(request: Request<Incoming>, front: &Front, busy: Busy) -> Response<Body> {
     let mut response = match request.uri().path() {
-        "/_health" => match front.duty.ready() {
+        "/_health" => match front.duty.healthy() {
             true => plain(StatusCode::OK, "ready\n"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
@@ -246,7 +252,7 @@
     let (reply, answer) = oneshot::channel();
     let taken = Taken { arrival: Arrival { id, deadline, ..asked.arrival }, forward, reply };
     let mut ticket = front.figures.taken(asked.arrival.class);
-    let (mut watch, mut stage) = (Watch { inbox: &front.inbox, id, answered: false }, front.duty.changes());
+    let (mut watch, mut state) = (Watch { inbox: &front.inbox, id, answered: false }, front.duty.changes());
     // Without a driver the answer's sender is gone with the request.
     let _ = front.inbox.send(Input::Taken(Box::new(taken))).await;
     let answer = tokio::select! {
@@ -256,7 +262,7 @@
             answer.unwrap_or(Answer::Failed)
         }
         // To the driver it is as if the client had left.
-        _ = stage.wait_for(|stage| *stage == Stage::Ending) => Answer::Failed,
+        _ = state.wait_for(|state| state.end == drain::End::Ending) => Answer::Failed,
     };
     let (mut response, end) = match answer {
         Answer::Served(body) => (whole(StatusCode::OK, body), End::Served),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,6 +4,7 @@
 
 use crate::api::*;
 use crate::state::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The source's breaker: failures in a row that open it, and its cooldown.
@@ -67,9 +68,12 @@
 /// Longest wait for a free server, as part of the aim, and how often held requests are looked at.
 const HOLD_PART: f64 = 0.3;
 const HOLD_STEP: Micros = Micros(10_000);
+/// The elder's part of the places at servers while two processes form the gateway. It has its last requests
+/// only, one for each connection that a client kept.
+const ELDER_PART: f64 = 0.25;
 
 /// A breaker over one way to the counter.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone, Serialize, Deserialize)]
 pub(crate) struct Breaker {
     streak: f64,
     opened: Option<Micros>,
@@ -132,6 +136,7 @@
     pass: f64,
     usual_worth: f64,
     serial: u64,
+    role: Role,
 }
 
 impl Gateway {
@@ -162,6 +167,7 @@
             Event::Counted(name, outcome, total) => self.on_counted(name, outcome, total),
             Event::AttemptEnded(end) => self.on_attempt(end),
             Event::Maintenance(server, out) => self.on_maintenance(server, out),
+            Event::Alone => self.on_alone(),
         }
         out.append(&mut self.out);
     }
@@ -471,6 +477,9 @@
     fn beyond_take(&mut self, customer: CustomerId, plan: usize, units: f64) -> bool {
         let (now, p) = (self.now, &self.set.plans[plan]);
         let Some(c) = self.customers.get_mut(&customer).filter(|_| p.ceiling_rate > 0.0) else { return true };
+        if self.role == Role::Elder && units > 0.0 {
+            return false; // This gateway's part is the younger's.
+        }
         (c.beyond.rate, c.beyond.depth) =
             ((p.ceiling_rate - p.rate).max(0.0) / c.spread, (p.ceiling_burst - p.burst).max(0.0) / c.spread);
         c.beyond.take(now, units)
@@ -482,7 +491,8 @@
     /// for whom a share that starts empty admits nothing for seconds.
     fn local_take(&mut self, customer: CustomerId, plan: usize, units: f64, added: bool) -> bool {
         let (now, most_units, p) = (self.now, self.set.most_units, &self.set.plans[plan]);
-        let Some(c) = self.customers.get(&customer) else { return false };
+        let elder = self.role == Role::Elder;
+        let Some(c) = self.customers.get(&customer).filter(|_| !elder) else { return false };
         let left = self.room(customer, c.window.known()).max(0.0);
         let Some(c) = self.customers.get_mut(&customer) else { return false };
         // Half by the gateways it can come through, half by what this one was seen to carry: sums to one.
@@ -681,7 +691,12 @@
     /// This gateway's part in the bound at one server: one where few gateways share it, else by how many do.
     fn scale(&self) -> f64 {
         let sharing = f64::from(self.set.gateways) * self.reach() as f64 / self.ring.len().max(1) as f64;
-        (FLEET_START / LIMIT_START / sharing.max(1e-9)).min(1.0)
+        let part = match self.role {
+            Role::Alone => 1.0,
+            Role::Elder => ELDER_PART,
+            Role::Younger => 1.0 - ELDER_PART,
+        };
+        (FLEET_START / LIMIT_START / sharing.max(1e-9)).min(1.0) * part
     }
 
     /// So many gateways share the servers that bounds start below one attempt and say little.
@@ -892,6 +907,64 @@
         (listed().count(), listed().filter(|s| !s.in_service() || now < s.ejected_until).count())
     }
 
+    /// The other process of this gateway is gone. An elder that is alone again after all starts with empty
+    /// buckets, as after a restart: its share had gone to the younger.
+    fn on_alone(&mut self) {
+        if std::mem::take(&mut self.role) == Role::Elder {
+            for c in self.customers.values_mut() {
+                (c.beyond.level, c.beyond.at, c.bucket) = (0.0, self.now, None);
+            }
+        }
+    }
+
+    /// What another process needs to go on as this gateway. What was owed to the counter is its to pay.
+    pub(crate) fn hand_over(&mut self) -> Estate {
+        self.role = Role::Elder;
+        let mut customers = Vec::with_capacity(self.customers.len());
+        for (&id, c) in &mut self.customers {
+            let w = &mut c.window;
+            // What calls under way carry, they pay.
+            let tally = Tally { seen: w.seen + w.posting, posted: 0.0, posting: 0.0, ..w.clone() };
+            (w.seen, w.owed) = (w.seen + w.owed, 0.0);
+            let epoch = Tally::default();
+            customers.push((id, Customer { window: tally, epoch, out: 0.0, ..c.clone() }));
+        }
+        Estate {
+            servers: self.servers.iter().map(|(&id, s)| (id, s.clone())).collect(),
+            customers,
+            breaker: Breaker { probing: false, ..self.breaker.clone() },
+            ask: self.ask,
+            flow: self.flow.clone(),
+            latency: self.latency,
+            fail_share: self.fail_share,
+            pass: self.pass,
+            usual_worth: self.usual_worth,
+        }
+    }
+
+    /// Goes on where another process was. The own list says who is in service; a life of a server's that only
+    /// that list knows is a new one.
+    pub(crate) fn take_over(&mut self, estate: Estate) {
+        for (id, theirs) in estate.servers {
+            let theirs = Server { out: 0.0, ejections: theirs.ejections.min(EJECT_DOUBLINGS), ..theirs };
+            let own = self.servers.entry(id).or_default();
+            if own.cold_since > theirs.cold_since {
+                own.maintained = theirs.maintained;
+                continue;
+            }
+            let (zone, cell, weight, listed, out) = (own.zone, own.cell, own.weight, own.listed, own.out);
+            *own = Server { zone, cell, weight, listed, out, ..theirs };
+        }
+        let plans = self.set.plans.len();
+        self.customers.extend(estate.customers.into_iter().filter(|(_, c)| c.plan < plans));
+        (self.breaker, self.ask, self.flow) =
+            (estate.breaker, estate.ask.clamp(LEAST_PART, 1.0), estate.flow);
+        (self.latency, self.fail_share) = (estate.latency, estate.fail_share);
+        (self.pass, self.usual_worth) = (estate.pass.clamp(LEAST_PART, 1.0), estate.usual_worth);
+        self.role = Role::Younger;
+        self.line_up();
+    }
+
     /// Whether an operator took this server out.
     pub fn is_out(&self, server: ServerId) -> bool {
         self.servers.get(&server).is_some_and(|s| s.maintained)
@@ -908,7 +981,7 @@
         let class = &self.set.classes[r.a.class.0];
         let over =
             r.done || r.streaming || self.now >= r.a.deadline || r.attempts.len() >= self.set.max_attempts;
-        let pushed = s.cold_since.is_some() && s.cold_room.level <= 0.0;
+        let pushed = s.cold_since.is_some() && (s.cold_room.level <= 0.0 || self.role == Role::Elder);
         let second = r.is_out() && !self.set.second_copies;
         if over || pushed || second || !s.in_service() {
             return false;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,9 +2,10 @@
 
 use crate::api::*;
 use crate::rules::Breaker;
+use serde::{Deserialize, Serialize};
 
 /// A store of units that fills at a rate. It may go below nothing where the caller lets it.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct TokenBucket {
     pub(crate) level: f64,
     pub(crate) depth: f64,
@@ -48,7 +49,7 @@
 }
 
 /// This gateway's side of a customer's shared count in one window (or epoch).
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Tally {
     pub(crate) span: u64,
     /// Own adds known to have been counted.
@@ -71,14 +72,14 @@
 }
 
 /// What was refused last, by which a repeat is known.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Refusal {
     pub(crate) class: ClassId,
     pub(crate) units: f64,
     pub(crate) at: Micros,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Customer {
     pub(crate) refused: Option<Refusal>,
     pub(crate) plan: usize,
@@ -92,6 +93,7 @@
     pub(crate) beyond: TokenBucket,
     pub(crate) breaker: Breaker,
     /// Own attempts out (of a plan that caps them).
+    #[serde(skip)]
     pub(crate) out: f64,
     pub(crate) used: Micros,
 }
@@ -127,7 +129,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Server {
     pub(crate) zone: ZoneId,
     pub(crate) cell: CellId,
@@ -136,6 +138,7 @@
     pub(crate) listed: Option<Listed>,
     /// An operator took it out.
     pub(crate) maintained: bool,
+    #[serde(skip)]
     pub(crate) out: f64,
     pub(crate) latency: f64,
     pub(crate) limit: f64,
@@ -163,6 +166,32 @@
     Sweep,
 }
 
+/// While a gateway's process is replaced, two of them form it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Role {
+    /// The only one.
+    #[default]
+    Alone,
+    /// The one that is replaced: it ends what it has.
+    Elder,
+    /// The one that takes its place.
+    Younger,
+}
+
+/// What the process that takes a gateway over must know to keep the rules.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct Estate {
+    pub(crate) servers: Vec<(ServerId, Server)>,
+    pub(crate) customers: Vec<(CustomerId, Customer)>,
+    pub(crate) breaker: Breaker,
+    pub(crate) ask: f64,
+    pub(crate) flow: TokenBucket,
+    pub(crate) latency: f64,
+    pub(crate) fail_share: f64,
+    pub(crate) pass: f64,
+    pub(crate) usual_worth: f64,
+}
+
 /// Spreads the bits of a number (the finaliser of SplitMix64).
 pub(crate) fn mix(x: u64) -> u64 {
     let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The gateway on loopback sockets: what real networks do to it that the simulator does not.
 mod operators;
+mod replacement;
 mod world;
 
 use std::time::{Duration, Instant};
