Pass bodies of any size on as they come, within one budget of memory

Ruled out before: servers that fail. Each broken attempt ended at the length limit of the reader, with its server listed, warm and answering the next one.

--- a/src/api.rs
+++ b/src/api.rs
@@ -269,6 +269,8 @@
     pub units: f64,
     /// The client repeats a try that was refused, failed or given up (where clients say so).
     pub resent: bool,
+    /// Its body is still coming and is not kept: it can be sent once. Until it has come the deadline is a bound.
+    pub upload: bool,
 }
 
 /// An attempt that ended.
@@ -303,6 +305,11 @@
     Timer(TimerId),
     /// A streamed answer has started; the request is the client's now.
     StreamStarted(RequestId),
+    /// The first bytes of a long answer have come, so long after the send; the rest goes on as the client
+    /// takes it.
+    AnswerBegun(RequestId, usize, Micros),
+    /// The last byte of an upload has come; its deadline is known.
+    BodyEnded(RequestId, Micros),
     /// The client is gone.
     ClientGone(RequestId),
     /// A probe ended.
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -1,19 +1,23 @@
 //! Attempts at backends: a pool of connections, and the outcome of each attempt by what was written.
 
+use super::download::{Answered, Download};
 use super::figures::Figures;
-use super::http::{CallError, Connection};
+use super::http::{CallError, Connection, MAX_BODY};
+use super::memory::Memory;
 use super::share::Share;
+use super::upload::{Sending, Upload};
 use crate::api::Outcome;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// How long the client waits; to a backend: how long this gateway does.
@@ -23,8 +27,10 @@
 /// However early kept connections break, one that stood idle for no longer than this is used again.
 const LEAST_IDLE: Duration = Duration::from_millis(100);
 
+/// An answer that does not say how long it is goes on after this, if it has not come to its end.
+const GATHER_TIME: Duration = Duration::from_millis(250);
+
 /// A client's request as it goes on to backends.
-#[derive(Debug)]
 pub struct Forward {
     /// Its method.
     pub method: Method,
@@ -33,18 +39,34 @@
     /// Its headers, without those that hold for the client's connection alone.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Payload,
+}
+
+/// The body of a request that goes on to backends.
+pub enum Payload {
+    /// All of it is here, for as many attempts as it takes.
+    Whole(Bytes),
+    /// It is still coming, for one attempt.
+    Upload(RefCell<Option<Box<Upload>>>),
 }
 
 impl Forward {
-    fn request(&self, until: Instant) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// The call to a backend; none if the body has gone to another.
+    fn request(&self, until: Instant) -> Option<Request<Sending>> {
+        let body = match &self.body {
+            Payload::Whole(body) => Sending::Whole(Full::new(body.clone())),
+            Payload::Upload(upload) => Sending::Upload(upload.take()?),
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-        request.headers_mut().insert(BUDGET, HeaderValue::from(left));
-        request
+        // The time of an upload begins with its last byte; until then the client's own word stands.
+        if matches!(self.body, Payload::Whole(_)) {
+            let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+            request.headers_mut().insert(BUDGET, HeaderValue::from(left));
+        }
+        Some(request)
     }
 }
 
@@ -74,18 +96,19 @@
     pub open: Cell<bool>,
 }
 
-/// How an attempt ended, with the body where it was served.
-#[derive(Debug)]
+/// How an attempt ended, or that its answer has begun.
 pub struct Ended {
     /// The outcome.
     pub outcome: Outcome,
     /// A 200's body.
-    pub body: Option<Bytes>,
+    pub body: Option<Answered>,
+    /// When the backend had all of the request, if it had.
+    pub whole_at: Option<Instant>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, body: None }
+        Ended { outcome, body: None, whole_at: None }
     }
 }
 
@@ -99,6 +122,7 @@
     longest_idle: Cell<Duration>,
     idle_limit: Duration,
     figures: Rc<Figures>,
+    memory: Rc<Memory>,
 }
 
 impl Pool {
@@ -108,11 +132,12 @@
         dial_timeout: Duration,
         conn_idle: Duration,
         figures: Rc<Figures>,
+        memory: Rc<Memory>,
     ) -> Pool {
         // Guards against writing to a connection that its backend is about to close: half the time is left.
         let idle_limit = conn_idle / 2;
         let (idle, places) = (RefCell::default(), Share::new(connections));
-        Pool { idle, places, dial_timeout, longest_idle: Cell::new(idle_limit), idle_limit, figures }
+        Pool { idle, places, dial_timeout, longest_idle: Cell::new(idle_limit), idle_limit, figures, memory }
     }
 
     /// The connection used last is taken first, so that those not needed age and are retired.
@@ -127,7 +152,8 @@
         None
     }
 
-    fn give_back(&self, address: SocketAddr, mut connection: Connection) {
+    /// Takes a connection back that may carry another call.
+    pub fn give_back(&self, address: SocketAddr, mut connection: Connection) {
         if connection.is_usable() {
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().entry(address).or_default().push(connection);
@@ -177,62 +203,76 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
-    /// Makes one attempt and returns how it ended, its connection closed or back in the pool. It ends by
-    /// `until`, or when called off.
+    /// Makes one attempt and returns how it ended, its connection closed or back in the pool, or that a long
+    /// answer has begun. It ends or begins by `until`, or when called off.
     pub async fn attempt(
-        &self,
+        self: &Rc<Pool>,
         backend: &Backend,
         request: &Forward,
         until: Instant,
         called_off: oneshot::Receiver<()>,
     ) -> Ended {
         // Guards the limit on descriptors: an attempt without a place was never sent.
-        let Some(_place) = self.places.try_take() else { return Outcome::Moot.into() };
+        let Some(place) = self.places.try_take() else { return Outcome::Moot.into() };
         while self.held() > self.places.free() {
             self.evict();
         }
-        let wrote = Cell::new(false);
-        tokio::select! {
+        let (wrote, whole_at) = (Cell::new(false), Cell::new(None));
+        let ended = tokio::select! {
             biased;
             _ = called_off => Outcome::Cancelled.into(),
             () = sleep_until(until) => match wrote.get() {
                 true => Outcome::Timeout.into(),
                 false => Outcome::ConnectFailed.into(),
             },
-            ended = self.exchange(backend, request, until, &wrote) => ended,
-        }
+            ended = self.exchange(backend, request, until, place, &wrote, &whole_at) => ended,
+        };
+        Ended { whole_at: whole_at.get(), ..ended }
     }
 
     async fn exchange(
-        &self,
+        self: &Rc<Pool>,
         backend: &Backend,
         request: &Forward,
         until: Instant,
+        place: OwnedSemaphorePermit,
         wrote: &Cell<bool>,
+        whole_at: &Cell<Option<Instant>>,
     ) -> Ended {
         loop {
-            let (mut connection, reused) = match self.take(backend.address) {
+            // What can be sent once goes out on a connection that has not stood idle.
+            let kept = match request.body {
+                Payload::Whole(_) => self.take(backend.address),
+                Payload::Upload(_) => None,
+            };
+            let (mut connection, reused) = match kept {
                 Some(connection) => (connection, true),
-                None => match timeout(self.dial_timeout, Connection::open(backend.address)).await {
-                    Ok(Ok(connection)) => (connection, false),
-                    _ => return Outcome::ConnectFailed.into(),
-                },
+                None => {
+                    let opening = Connection::open(backend.address, self.memory.buffer());
+                    match timeout(self.dial_timeout, opening).await {
+                        Ok(Ok(connection)) => (connection, false),
+                        _ => return Outcome::ConnectFailed.into(),
+                    }
+                }
             };
             // Guards against sending to a backend that began to drain while the connection came up.
             if !backend.open.get() {
                 return Outcome::Moot.into();
             }
             let idle = connection.idle_since.elapsed();
+            let Some(call) = request.request(until) else { return Outcome::Moot.into() };
             // From here on the attempt may have run, for all that a caller who stops waiting can know.
             wrote.set(true);
-            match connection.call(request.request(until), || self.figures.attempt()).await {
-                Ok(response) => {
-                    self.give_back(backend.address, connection);
-                    return outcome_of(response);
-                }
+            let whole = || {
+                whole_at.set(Some(Instant::now()));
+                self.figures.attempt();
+            };
+            match connection.begin(call, whole).await {
+                Ok(response) => return self.read(backend.address, response, connection, place).await,
                 // Guards against a pooled connection that was closed just before it was written to.
                 Err(CallError::NotSent) if reused => wrote.set(false),
                 Err(CallError::NotSent) => return Outcome::ConnectFailed.into(),
+                Err(CallError::Cut) => return Outcome::Moot.into(),
                 Err(CallError::Broken) => {
                     if reused {
                         self.broke(idle);
@@ -242,15 +282,71 @@
             }
         }
     }
+
+    /// Reads an answer: whole where it is short and there is room, so that a broken one can be tried again;
+    /// else until it has begun.
+    async fn read(
+        self: &Rc<Pool>,
+        address: SocketAddr,
+        response: Response<Incoming>,
+        mut connection: Connection,
+        place: OwnedSemaphorePermit,
+    ) -> Ended {
+        let outcome = outcome_of(&response);
+        let mut body = response.into_body();
+        if outcome != Outcome::Ok {
+            let read = connection.drive(Limited::new(body, MAX_BODY).collect()).await;
+            if matches!(read, Some(Ok(_))) {
+                self.give_back(address, connection);
+            }
+            return outcome.into();
+        }
+        let announced = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
+        let short = announced.unwrap_or(MAX_BODY) <= MAX_BODY;
+        let room = short.then(|| self.memory.hold(announced.unwrap_or(MAX_BODY))).flatten();
+        let until = Instant::now() + GATHER_TIME;
+        let (mut begun, mut length) = (VecDeque::new(), 0);
+        loop {
+            let waits = begun.is_empty() || room.is_some() && announced.is_some();
+            let next = tokio::select! {
+                biased;
+                next = connection.drive(body.frame()) => next,
+                () = sleep_until(until), if !waits => break,
+            };
+            match next {
+                Some(Some(Ok(frame))) => {
+                    // Trailers hold for the backend's connection alone.
+                    let piece = frame.into_data().unwrap_or_default();
+                    length += piece.len();
+                    begun.extend(Some(piece).filter(|piece| !piece.is_empty()));
+                }
+                Some(None) => {
+                    self.give_back(address, connection);
+                    let whole = match begun.len() {
+                        1 => begun.pop_front().unwrap_or_default(),
+                        _ => Bytes::from(begun.make_contiguous().concat()),
+                    };
+                    let body = Some(Answered::Whole(whole, room));
+                    return Ended { outcome, body, whole_at: None };
+                }
+                Some(Some(Err(_))) | None => return Outcome::Reset.into(),
+            }
+            if length > 0 && (room.is_none() || length > MAX_BODY) {
+                break;
+            }
+        }
+        let download = Download::new(begun, body, connection, self.clone(), address, place);
+        Ended { outcome, body: Some(Answered::Begun(Box::new(download))), whole_at: None }
+    }
 }
 
 /// What an answer says. Guards against taking a bare 503 or 504 for a turn-away: only the header proves that
 /// the request never ran.
-fn outcome_of(response: Response<Bytes>) -> Ended {
+fn outcome_of<T>(response: &Response<T>) -> Outcome {
     let rejected = response.headers().get(REJECTED).is_some_and(|v| v.as_bytes() == b"1");
     match response.status() {
-        StatusCode::OK => Ended { outcome: Outcome::Ok, body: Some(response.into_body()) },
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full.into(),
-        _ => Outcome::Error.into(),
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
+        _ => Outcome::Error,
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -92,13 +92,15 @@
 }
 
 #[derive(Deserialize)]
+#[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192.0 }
     }
 }
 
@@ -118,6 +120,8 @@
     pub(crate) known: MemberList,
     pub(crate) site: Site,
     pub(crate) sockets: SocketLimits,
+    /// The machine's memory, in millions of bytes.
+    pub(crate) memory_mb: f64,
     /// An attempt's connection must be made within this.
     pub(crate) dial_timeout: std::time::Duration,
     /// A backend closes a connection that stood idle for this long.
@@ -242,6 +246,7 @@
             conn_idle: span("bounds.conn_idle", 15_000_000)?,
             site,
             sockets: SocketLimits::of(document.limits.sockets),
+            memory_mb: document.limits.memory_mb,
         })
     }
 }
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -2,9 +2,9 @@
 
 use super::http::{CallError, Connection};
 use super::share::Share;
+use super::upload::Sending;
 use crate::api::{CountName, Micros, Outcome};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{header, Method, Request, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -16,6 +16,9 @@
 /// An idle connection is closed after this; the counter closes it after 10 s or less.
 const LONGEST_IDLE: Duration = Duration::from_secs(4);
 
+/// The longest head of an answer.
+const BUFFER: usize = 8 * 1024;
+
 /// How one call ended, and the total where it was answered.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Counted {
@@ -73,13 +76,13 @@
         loop {
             let (mut connection, reused) = match self.take() {
                 Some(connection) => (connection, true),
-                None => match Connection::open(self.address).await {
+                None => match Connection::open(self.address, BUFFER).await {
                     Ok(connection) => (connection, false),
                     Err(_) => return Outcome::ConnectFailed.into(),
                 },
             };
             wrote.set(true);
-            match connection.call(self.request(name, amount, life), || {}).await {
+            match connection.call(self.request(name, amount, life)).await {
                 Ok(response) => {
                     let counted = reading(response.status(), response.body());
                     // Guards against taking what is left of a broken answer for the next call's.
@@ -91,7 +94,7 @@
                 }
                 Err(CallError::NotSent) if reused => wrote.set(false),
                 Err(CallError::NotSent) => return Outcome::ConnectFailed.into(),
-                Err(CallError::Broken) => return Outcome::Reset.into(),
+                Err(CallError::Broken | CallError::Cut) => return Outcome::Reset.into(),
             }
         }
     }
@@ -106,9 +109,9 @@
         None
     }
 
-    fn request(&self, name: CountName, amount: f64, life: Micros) -> Request<Full<Bytes>> {
+    fn request(&self, name: CountName, amount: f64, life: Micros) -> Request<Sending> {
         let life_ms = (life.0 / 1000).max(1);
-        let mut request = Request::new(Full::new(Bytes::new()));
+        let mut request = Request::new(Sending::empty());
         *request.method_mut() = Method::POST;
         // Digits and signs alone: always a valid URI.
         if let Ok(uri) = format!("/v1/count/{}?add={amount}&ttl_ms={life_ms}", name.0).parse() {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,9 +2,8 @@
 
 use super::config::MemberList;
 use super::driver::{Inbox, Input};
-use super::http::Connection;
-use bytes::Bytes;
-use http_body_util::Full;
+use super::http::{Connection, MAX_BODY};
+use super::upload::Sending;
 use hyper::{header, Request, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -63,18 +62,18 @@
         None => "/catalog/members".to_string(),
         Some(revision) => format!("/catalog/members?from={revision}&hold_ms={}", HOLD.as_millis()),
     };
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let mut request = Request::new(Sending::empty());
     *request.uri_mut() = path.parse().map_err(|_| "no such path")?;
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(header::HOST, host);
     }
     if connection.as_mut().is_none_or(|c| !c.is_usable()) {
-        let opened = timeout(PATIENCE, Connection::open(address)).await;
+        let opened = timeout(PATIENCE, Connection::open(address, MAX_BODY)).await;
         *connection = Some(opened.map_err(|_| "no connection in time")?.map_err(|_| "no connection")?);
     }
     let Some(line) = connection.as_mut() else { return Err("no connection") };
     let hold = if revision.is_some() { HOLD } else { Duration::ZERO };
-    let answer = timeout(hold + PATIENCE, line.call(request, || {})).await;
+    let answer = timeout(hold + PATIENCE, line.call(request)).await;
     let answer = answer.map_err(|_| "no answer in time")?.map_err(|_| "the connection broke")?;
     if answer.status() != StatusCode::OK {
         return Err("not answered with 200");
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,12 +1,14 @@
 //! One HTTP/1.1 connection to a backend, the counter or discovery. It never sends anything by itself: a call
 //! is written once, and the caller learns whether any of it was.
 
+use super::upload::{Progress, Sending};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -17,14 +19,16 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// The longest body of any message.
+/// The longest body that is kept whole.
 pub const MAX_BODY: usize = 64 * 1024;
 
 /// Why a call has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallError {
-    /// Nothing of it was written: it never reached the other side.
+    /// It was not written to its end: the other side never had it whole.
     NotSent,
+    /// The same, and not for the other side's fault: the client did not bring its body to an end.
+    Cut,
     /// It broke after it was written, at least in part: it may have had its effect.
     Broken,
 }
@@ -41,6 +45,8 @@
 struct Metered {
     stream: TcpStream,
     written: Rc<Cell<Written>>,
+    /// How much of the present call's body is in the protocol machine's buffer.
+    progress: Rc<RefCell<Rc<Cell<Progress>>>>,
 }
 
 impl Metered {
@@ -75,10 +81,9 @@
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
-    /// The protocol machine has all of a call in its buffer before it flushes, and flushes the socket when
-    /// that buffer is empty.
+    /// The protocol machine flushes the socket when its own buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        if self.written.get() == Written::Part {
+        if self.written.get() == Written::Part && self.progress.borrow().get() == Progress::Ended {
             self.written.set(Written::Whole);
         }
         Pin::new(&mut self.stream).poll_flush(cx)
@@ -90,30 +95,33 @@
 
 /// A connection and its protocol machine. Dropping it closes the socket at once, whatever is under way.
 pub struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
-    machine: Pin<Box<http1::Connection<TokioIo<Metered>, Full<Bytes>>>>,
+    sender: http1::SendRequest<Sending>,
+    machine: Pin<Box<http1::Connection<TokioIo<Metered>, Sending>>>,
     written: Rc<Cell<Written>>,
+    progress: Rc<RefCell<Rc<Cell<Progress>>>>,
     closed: bool,
     /// When it was last given back unused.
     pub idle_since: Instant,
 }
 
 impl Connection {
-    /// Connects. The caller bounds the time.
-    pub async fn open(address: SocketAddr) -> io::Result<Connection> {
+    /// Connects, with a buffer of at most so many bytes. The caller bounds the time.
+    pub async fn open(address: SocketAddr, buffer: usize) -> io::Result<Connection> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let written = Rc::new(Cell::new(Written::Nothing));
-        let metered = TokioIo::new(Metered { stream, written: written.clone() });
+        let progress = Rc::new(RefCell::default());
+        let metered = Metered { stream, written: written.clone(), progress: progress.clone() };
         let (sender, machine) = http1::Builder::new()
-            .max_buf_size(2 * MAX_BODY)
-            .handshake(metered)
+            .max_buf_size(buffer)
+            .handshake(TokioIo::new(metered))
             .await
             .map_err(io::Error::other)?;
         Ok(Connection {
             sender,
             machine: Box::pin(machine),
             written,
+            progress,
             closed: false,
             idle_since: Instant::now(),
         })
@@ -125,13 +133,19 @@
         !self.closed && self.sender.is_ready()
     }
 
-    fn turn(&mut self, cx: &mut Context) {
+    /// Whether the other side has ended it.
+    pub fn is_closed(&self) -> bool {
+        self.closed
+    }
+
+    /// Reads and writes what can be.
+    pub fn turn(&mut self, cx: &mut Context) {
         // A finished machine must not be polled again.
         self.closed = self.closed || self.machine.as_mut().poll(cx).is_ready();
     }
 
     /// Polls a future with the machine that feeds it; gives up when the machine stops first.
-    async fn drive<T>(&mut self, future: impl Future<Output = T>) -> Option<T> {
+    pub async fn drive<T>(&mut self, future: impl Future<Output = T>) -> Option<T> {
         let mut future = pin!(future);
         std::future::poll_fn(|cx| {
             self.turn(cx);
@@ -144,14 +158,15 @@
         .await
     }
 
-    /// Makes one call and reads the whole answer; `whole` hears when all of it was written. After an error the
-    /// connection is of no further use.
-    pub async fn call(
+    /// Makes one call and reads the head of its answer; `whole` hears when all of the call was written. After
+    /// an error the connection is of no further use.
+    pub async fn begin(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Sending>,
         whole: impl FnOnce(),
-    ) -> Result<Response<Bytes>, CallError> {
+    ) -> Result<Response<Incoming>, CallError> {
         self.written.set(Written::Nothing);
+        *self.progress.borrow_mut() = request.body().progress();
         let (written, mut whole) = (self.written.clone(), Some(whole));
         let mut sending = pin!(self.sender.try_send_request(request));
         // Polled after the machine, so that it sees what was just written.
@@ -161,10 +176,18 @@
             }
             sending.as_mut().poll(cx)
         });
-        let head = self.drive(sending).await;
-        let failed =
-            if self.written.get() == Written::Nothing { CallError::NotSent } else { CallError::Broken };
-        let (head, body) = head.and_then(Result::ok).ok_or(failed)?.into_parts();
+        let head = self.drive(sending).await.and_then(Result::ok);
+        head.ok_or(match (self.written.get(), self.progress.borrow().get()) {
+            (Written::Nothing | Written::Part, Progress::Broken) => CallError::Cut,
+            // Nobody begins with half a body.
+            (Written::Nothing, _) | (Written::Part, Progress::Coming) => CallError::NotSent,
+            _ => CallError::Broken,
+        })
+    }
+
+    /// Makes one call and reads the whole answer.
+    pub async fn call(&mut self, request: Request<Sending>) -> Result<Response<Bytes>, CallError> {
+        let (head, body) = self.begin(request, || {}).await?.into_parts();
         let body = self.drive(Limited::new(body, MAX_BODY).collect()).await;
         let body = body.and_then(Result::ok).ok_or(CallError::Broken)?.to_bytes();
         Ok(Response::from_parts(head, body))
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,21 +5,25 @@
 pub mod counter;
 mod crowd;
 pub mod discovery;
+mod download;
 pub mod drain;
 pub mod driver;
 pub mod figures;
 pub mod handover;
 pub mod http;
 mod inherit;
+pub mod memory;
 pub mod ops;
 pub mod server;
 mod share;
+mod upload;
 
 use config::{Config, ConfigError, Services};
 use drain::{Duty, End};
 use driver::{Clock, Driver, Inbox, Input};
 use figures::Figures;
 use handover::Succession;
+use memory::Memory;
 use ops::Desk;
 use server::Front;
 use share::Share;
@@ -91,8 +95,9 @@
     let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
     let (gateways, most_units) = (config.site.settings.gateways, config.site.settings.most_units);
     let name = config.name.clone();
-    let (driver, orders) =
-        Driver::new(config, clock, duty.clone(), figures.clone()).map_err(RunError::Config)?;
+    let memory = Rc::new(Memory::new(config.memory_mb, config.sockets));
+    let (driver, orders) = Driver::new(config, clock, duty.clone(), figures.clone(), memory.clone())
+        .map_err(RunError::Config)?;
     let inbox = driver.inbox();
     let listener = match accept_fd {
         Some(number) => inherit::listener(number).and_then(TcpListener::from_std),
@@ -125,8 +130,18 @@
         let held = Rc::new(move || places.taken());
         Rc::new(Succession::new(folder, address, orders, duty.clone(), held, elsewhere))
     });
-    let front =
-        Front { inbox, clock, duty: duty.clone(), figures, classes, plans, gateways, most_units, last };
+    let front = Front {
+        inbox,
+        clock,
+        duty: duty.clone(),
+        figures,
+        memory,
+        classes,
+        plans,
+        gateways,
+        most_units,
+        last,
+    };
     let serving = async {
         if let Some(succession) = succession {
             // Until then the process before this one takes the clients.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,22 +1,25 @@
 //! Clients: taking their requests, answering them, and `/_health`.
 
-use super::backend::{strip_hop_by_hop, Forward, BUDGET};
+use super::backend::{strip_hop_by_hop, Forward, Payload, BUDGET};
 use super::crowd::{Busy, Crowd, SWEEP_EVERY};
+use super::download::{BrokeOff, Giving};
 use super::drain::{self, Duty};
-use super::driver::{Answer, Clock, Inbox, Input, Taken};
+use super::driver::{tell, Answer, Clock, Inbox, Input, Taken};
 use super::figures::{End, Figures, Ticket};
 use super::http::MAX_BODY;
+use super::memory::Memory;
 use super::share::Share;
+use super::upload::{slowest, Arrived, BodyError, Intake, Upload, LONGEST};
 use crate::api::*;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::pin::{pin, Pin};
@@ -24,15 +27,10 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch};
-use tokio::time::{interval, sleep, sleep_until, timeout, Instant};
+use tokio::sync::{oneshot, watch, OwnedSemaphorePermit};
+use tokio::time::{interval, sleep, sleep_until, Instant};
 use tracing::{debug, warn};
 
-/// A body must come within this, and the time that it takes at the slowest pace.
-const BODY_TIME: Duration = Duration::from_millis(700);
-/// The longest head, and what is read ahead of a body. With bodies of 64 KiB, places for 160 clients stay within
-/// half of the 32 MB that the smallest machine has.
-const MAX_HEAD: usize = 32 * 1024;
 /// The pause after an accept that failed, which it does at once while descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often a connection that waits for a place looks for one that can be closed for it.
@@ -54,6 +52,8 @@
     pub duty: Rc<Duty>,
     /// The counters for operators.
     pub figures: Rc<Figures>,
+    /// The budget for what is kept whole, and for buffers.
+    pub memory: Rc<Memory>,
     /// The names of classes, with what they may do and the longest wait.
     pub classes: HashMap<String, (ClassId, Effect, Micros)>,
     /// The names of plans.
@@ -140,7 +140,7 @@
         async move { Ok::<_, Infallible>(respond(request, &front, busy).await) }
     });
     let connection = http1::Builder::new()
-        .max_buf_size(MAX_HEAD)
+        .max_buf_size(front.memory.buffer())
         .header_read_timeout(None)
         .serve_connection(TokioIo::new(socket), service);
     tokio::select! {
@@ -154,25 +154,30 @@
 
 /// An answer's body. While it lasts, its request is in flight and its connection busy.
 struct Body {
-    bytes: Full<Bytes>,
-    _ticket: Option<Ticket>,
+    giving: Giving,
+    ticket: Option<Ticket>,
     _busy: Option<Busy>,
 }
 
 impl hyper::body::Body for Body {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = BrokeOff;
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Pin::new(&mut self.bytes).poll_frame(cx)
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokeOff>>> {
+        let next = Pin::new(&mut self.giving).poll_frame(cx);
+        // Until its last byte is passed on, a long answer may yet fail.
+        if matches!(&self.giving, Giving::Download(download) if download.is_whole()) {
+            self.ticket.iter_mut().for_each(|ticket| ticket.ends(End::Served));
+        }
+        next
     }
     fn is_end_stream(&self) -> bool {
-        self.bytes.is_end_stream()
+        self.giving.is_end_stream()
     }
     fn size_hint(&self) -> SizeHint {
-        self.bytes.size_hint()
+        self.giving.size_hint()
     }
 }
 
@@ -184,7 +189,7 @@
         },
         "/api" => match take(request, front).await {
             Ok(answer) => answer,
-            Err((status, problem)) => plain(status, problem),
+            Err(Malformed(status, problem)) => plain(status, problem),
         },
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
     };
@@ -195,17 +200,18 @@
     response
 }
 
-fn whole(status: StatusCode, bytes: Bytes) -> Response<Body> {
-    let mut response = Response::new(Body { bytes: Full::new(bytes), _ticket: None, _busy: None });
+fn giving(status: StatusCode, giving: Giving) -> Response<Body> {
+    let mut response = Response::new(Body { giving, ticket: None, _busy: None });
     *response.status_mut() = status;
     response
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
-    whole(status, Bytes::from_static(text.as_bytes()))
+    giving(status, Giving::Whole(Full::new(Bytes::from_static(text.as_bytes())), None))
 }
 
-type Malformed = (StatusCode, &'static str);
+/// What a peer is told whose request is none.
+struct Malformed(StatusCode, &'static str);
 
 /// Tells the driver that the client is gone, unless it was answered.
 struct Watch<'a> {
@@ -219,63 +225,143 @@
         if self.answered {
             return;
         }
-        if let Err(tokio::sync::mpsc::error::TrySendError::Full(input)) =
-            self.inbox.try_send(Input::Gone(self.id))
-        {
-            let inbox = self.inbox.clone();
-            tokio::task::spawn_local(async move { inbox.send(input).await });
+        tell(self.inbox, Input::Gone(self.id));
+    }
+}
+
+impl From<BodyError> for Malformed {
+    fn from(error: BodyError) -> Malformed {
+        match error {
+            BodyError::TooLong => {
+                Malformed(StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 32 MiB\n")
+            }
+            BodyError::TooSlow => Malformed(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
+            BodyError::Broken => Malformed(StatusCode::BAD_REQUEST, "the body broke off\n"),
         }
     }
 }
 
+/// Reads a short body whole, where there is room for it, and none of any other.
+async fn body(
+    body: Incoming,
+    memory: &Memory,
+) -> Result<(Received, Option<OwnedSemaphorePermit>), Malformed> {
+    let mut intake = Intake::new(body);
+    let announced = intake.announced();
+    if announced.is_some_and(|length| length > LONGEST) {
+        return Err(BodyError::TooLong.into());
+    }
+    let length = announced.unwrap_or(MAX_BODY);
+    let room = if length <= MAX_BODY { memory.hold(length) } else { None };
+    let most = if room.is_some() { MAX_BODY } else { 0 };
+    if room.is_none() && announced.is_some() {
+        let (upload, arrived) = Upload::new(Bytes::new(), intake);
+        return Ok((Received::Begun(Box::new(upload), arrived), None));
+    }
+    let (begun, ended) = intake.gather(most).await?;
+    if ended {
+        return Ok((Received::Whole(begun), room));
+    }
+    let (upload, arrived) = Upload::new(begun, intake);
+    Ok((Received::Begun(Box::new(upload), arrived), room))
+}
+
+/// A body as far as it has been read.
+enum Received {
+    Whole(Bytes),
+    Begun(Box<Upload>, oneshot::Receiver<Arrived>),
+}
+
 async fn take(request: Request<Incoming>, front: &Front) -> Result<Response<Body>, Malformed> {
-    let (head, body) = request.into_parts();
+    let (head, incoming) = request.into_parts();
     let asked = Asked::read(&head.method, head.uri.query(), &head.headers, front)?;
-    let body = timeout(BODY_TIME, Limited::new(body, MAX_BODY).collect()).await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 64 KiB\n"))
+    let (received, _room) = body(incoming, &front.memory).await?;
+    let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
+    let mut ticket = None;
+    // The request's time runs from its last byte.
+    let mut deadline = front.clock.now() + asked.budget;
+    let (body, mut arrived) = match received {
+        Received::Whole(body) if head.method == Method::GET && !body.is_empty() => {
+            return Err(Malformed(StatusCode::BAD_REQUEST, "a GET carries no body\n"));
+        }
+        Received::Whole(body) => {
+            ticket = Some(front.figures.taken(asked.arrival.class));
+            (Payload::Whole(body), None)
+        }
+        Received::Begun(..) if head.method == Method::GET => {
+            return Err(Malformed(StatusCode::BAD_REQUEST, "a GET carries no body\n"));
+        }
+        Received::Begun(upload, arrived) => {
+            deadline = deadline + Micros(slowest(LONGEST).as_micros() as u64);
+            (Payload::Upload(RefCell::new(Some(upload))), Some(arrived))
         }
-        Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body broke off\n")),
-        Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
     };
-    if head.method == Method::GET && !body.is_empty() {
-        return Err((StatusCode::BAD_REQUEST, "a GET carries no body\n"));
-    }
-    // The request's time runs from its last byte.
-    let deadline = front.clock.now() + asked.budget;
-    let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
-    let forward = Forward { method: head.method, uri: head.uri, headers, body };
-    let (reply, answer) = oneshot::channel();
-    let taken = Taken { arrival: Arrival { id, deadline, ..asked.arrival }, forward, reply };
-    let mut ticket = front.figures.taken(asked.arrival.class);
+    // A client may name the whole address; a backend is asked for the path.
+    let path = head.uri.into_parts().path_and_query;
+    let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+    let forward = Forward { method: head.method, uri, headers, body };
+    let (reply, mut answer) = oneshot::channel();
+    let (class, upload) = (asked.arrival.class, arrived.is_some());
+    let taken = Taken { arrival: Arrival { id, deadline, upload, ..asked.arrival }, forward, reply };
     let (mut watch, mut state) = (Watch { inbox: &front.inbox, id, answered: false }, front.duty.changes());
     // Without a driver the answer's sender is gone with the request.
     let _ = front.inbox.send(Input::Taken(Box::new(taken))).await;
-    let answer = tokio::select! {
-        biased;
-        answer = answer => {
-            watch.answered = true;
-            answer.unwrap_or(Answer::Failed)
+    let answer = loop {
+        let arriving = async {
+            match &mut arrived {
+                Some(arrived) => arrived.await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            answer = &mut answer => {
+                watch.answered = true;
+                break answer.unwrap_or(Answer::Failed);
+            }
+            how = arriving => {
+                arrived = None;
+                match how {
+                    Ok(Arrived::Whole) => {
+                        ticket = Some(front.figures.taken(class));
+                        let deadline = front.clock.now() + asked.budget;
+                        let _ = front.inbox.send(Input::Uploaded(id, deadline)).await;
+                    }
+                    Ok(Arrived::Broken(error)) => return Err(error.into()),
+                    Ok(Arrived::Left(rest)) => drop(tokio::task::spawn_local(rest.drain())),
+                    Err(_) => {}
+                }
+            }
+            // To the driver it is as if the client had left.
+            _ = state.wait_for(|state| state.end == drain::End::Ending) => break Answer::Failed,
         }
-        // To the driver it is as if the client had left.
-        _ = state.wait_for(|state| state.end == drain::End::Ending) => Answer::Failed,
     };
-    let (mut response, end) = match answer {
-        Answer::Served(body) => (whole(StatusCode::OK, body), End::Served),
+    // A client that is answered early may still finish its body, and then reads the answer.
+    if let Some(Ok(Arrived::Left(rest))) = arrived.as_mut().map(|arrived| arrived.try_recv()) {
+        tokio::task::spawn_local(rest.drain());
+    }
+    let mut ticket = ticket.unwrap_or_else(|| front.figures.taken(class));
+    let mut response = match answer {
+        Answer::Served(body) => {
+            // A long answer is served once its last byte is passed on.
+            ticket.ends(if matches!(body, Giving::Whole(..)) { End::Served } else { End::Failed });
+            giving(StatusCode::OK, body)
+        }
         Answer::Refused(wait) => {
+            ticket.ends(End::Refused);
             let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused\n");
             let wait = wait.and_then(|w| HeaderValue::from_str(&format!("{:.3}", w.secs())).ok());
             wait.into_iter().for_each(|w| drop(response.headers_mut().insert(header::RETRY_AFTER, w)));
-            (response, End::Refused)
+            response
+        }
+        Answer::Failed => {
+            ticket.ends(End::Failed);
+            plain(StatusCode::BAD_GATEWAY, "failed\n")
         }
-        Answer::Failed => (plain(StatusCode::BAD_GATEWAY, "failed\n"), End::Failed),
     };
-    ticket.ends(end);
-    response.body_mut()._ticket = Some(ticket);
+    response.body_mut().ticket = Some(ticket);
     Ok(response)
 }
 
@@ -292,7 +378,7 @@
         headers: &HeaderMap,
         front: &Front,
     ) -> Result<Asked, Malformed> {
-        let bad = |problem| (StatusCode::BAD_REQUEST, problem);
+        let bad = |problem| Malformed(StatusCode::BAD_REQUEST, problem);
         let text = |name: HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
         let named = |name| text(HeaderName::from_static(name));
         let (class, effect, longest) = named("x-call-class")
@@ -319,7 +405,7 @@
             Effect::Unsafe => (Method::POST, false),
         };
         if *method != wanted {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "not this class's method\n"));
+            return Err(Malformed(StatusCode::METHOD_NOT_ALLOWED, "not this class's method\n"));
         }
         if keyed && headers.get("idempotency-key").is_none_or(|key| key.is_empty()) {
             return Err(bad("Idempotency-Key: expected a key\n"));
--- a/src/net/share.rs
+++ b/src/net/share.rs
@@ -34,7 +34,12 @@
 
     /// A place, if one is free.
     pub fn try_take(&self) -> Option<OwnedSemaphorePermit> {
-        self.free.clone().try_acquire_owned().ok()
+        self.try_take_many(1)
+    }
+
+    /// So many places, if they are free.
+    pub fn try_take_many(&self, places: usize) -> Option<OwnedSemaphorePermit> {
+        self.free.clone().try_acquire_many_owned(u32::try_from(places).ok()?).ok()
     }
 
     /// A place, once one is free.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -162,6 +162,8 @@
             Event::StreamStarted(id) => {
                 self.requests.get_mut(&id).into_iter().for_each(|r| r.streaming = true);
             }
+            Event::AnswerBegun(id, attempt, took) => self.on_answer_begun(id, attempt, took),
+            Event::BodyEnded(id, deadline) => self.on_body_ended(id, deadline),
             Event::ClientGone(id) => self.finish(id, None),
             Event::Probed(..) => {}
             Event::Counted(name, outcome, total) => self.on_counted(name, outcome, total),
@@ -571,25 +573,61 @@
         // silent. Not while attempts fail or are late everywhere: giving up wastes work in overload.
         let again = class.effect != Effect::Unsafe
             && !class.stream
+            && !r.a.upload
             && r.attempts.len() + 1 < self.set.max_attempts
             && (class.effect == Effect::Safe || class.group == Group::All)
             && self.fail_share < CALM_SHARE;
         let early = r.arrived + class.aim.times(1.0 - SPARE_PART);
         let until = if again && early > now + class.aim.times(SPARE_PART) { early } else { r.a.deadline };
-        r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false });
+        let placed = !r.a.upload;
+        r.attempts.push(Attempt { server, sent: now, out: true, placed, may_have_run: false });
         r.held_since = None;
         r.counted = None;
         let (units, until) = (r.a.units, until.min(r.a.deadline));
         self.flow.level = self.flow_rate() * FLOW_SPAN + units;
         self.flow.at = now;
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.out += 1.0;
-            self.out_now += 1.0;
-            s.cold_room.level -= units;
+        self.servers.get_mut(&server).into_iter().for_each(|s| s.cold_room.level -= units);
+        if placed {
+            self.take_place(server);
         }
         self.out.push(Action::Send(id, server, until));
     }
 
+    fn take_place(&mut self, server: ServerId) {
+        self.servers.get_mut(&server).into_iter().for_each(|s| s.out += 1.0);
+        self.out_now += 1.0;
+    }
+
+    /// A server begins with a request's last byte; until then an upload waits for its client and takes none of
+    /// the server's places, or a few slow clients would take all.
+    fn on_body_ended(&mut self, id: RequestId, deadline: Micros) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.done) else { return };
+        (r.a.deadline, r.arrived) = (deadline, self.now);
+        // An upload is sent once.
+        let sent = r.attempts.first_mut().filter(|a| a.out && !a.placed);
+        let server = sent.map(|a| {
+            a.placed = true;
+            a.server
+        });
+        server.into_iter().for_each(|server| self.take_place(server));
+        self.timer(Timer::Deadline(id), deadline - self.now - self.set.tick - self.set.tick);
+    }
+
+    /// With the first bytes of a long answer its server has done its work: the place is free, and the time was
+    /// the server's. What is left takes as long as the client does.
+    fn on_answer_begun(&mut self, id: RequestId, attempt: usize, took: Micros) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.streaming = true;
+        let aim = self.set.classes[r.a.class.0].aim;
+        let Some(a) = r.attempts.get_mut(attempt).filter(|a| a.out && a.placed) else { return };
+        a.placed = false;
+        let server = a.server;
+        self.judge(server, Outcome::Ok, took, aim);
+        if !self.held.is_empty() {
+            self.serve_held();
+        }
+    }
+
     fn serve_held(&mut self) {
         let now = self.now;
         let mut waiting = std::mem::take(&mut self.held);
@@ -659,7 +697,8 @@
         let Some(a) = named.filter(|a| a.out && a.server == end.server) else { return };
         a.out = false;
         a.may_have_run = !outcome.never_ran();
-        let (aim, was_done) = (self.set.classes[r.a.class.0].aim, r.done);
+        let placed = std::mem::take(&mut a.placed);
+        let (aim, was_done, streaming) = (self.set.classes[r.a.class.0].aim, r.done, r.streaming);
         r.done |= end.ended || outcome == Outcome::Ok;
         let (answered, in_time) = (r.done, self.now < r.arrived + aim);
         if let (Some(true_units), Outcome::Ok, false) = (end.settled, outcome, was_done) {
@@ -667,7 +706,12 @@
                 c.window.owed += true_units - r.a.units;
             }
         }
-        self.judge(end.server, outcome, end.took, aim);
+        if !placed && !streaming {
+            self.take_place(end.server); // An upload that ended early is judged like any other attempt.
+        }
+        if placed || !streaming {
+            self.judge(end.server, outcome, end.took, aim);
+        }
         if answered {
             self.let_go(id);
         } else if in_time && self.may_repeat(id) && self.retries >= 1.0 {
@@ -982,7 +1026,7 @@
         let over =
             r.done || r.streaming || self.now >= r.a.deadline || r.attempts.len() >= self.set.max_attempts;
         let pushed = s.cold_since.is_some() && (s.cold_room.level <= 0.0 || self.role == Role::Elder);
-        let second = r.is_out() && !self.set.second_copies;
+        let second = r.is_out() && !self.set.second_copies || r.a.upload && !r.attempts.is_empty();
         if over || pushed || second || !s.in_service() {
             return false;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -103,6 +103,8 @@
     pub(crate) server: ServerId,
     pub(crate) sent: Micros,
     pub(crate) out: bool,
+    /// It takes a place at its server: from the last byte of its body to the first of its answer.
+    pub(crate) placed: bool,
     pub(crate) may_have_run: bool,
 }
 
