Reckon with what the window before spent, where its total was heard

What a window leaves was carried over, what it overspent was not. Now the store as it was left decides where a total of the last window was heard here, before a call and after its answer; elsewhere the plain window stands. Refused units go back at once where gateways without that knowledge could use them.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -230,7 +230,7 @@
             let follows = c.window.span + 1 == span;
             let left = c.window.left + quota - c.window.known();
             let left = if follows { left.clamp(0.0, burst) } else { burst / c.spread };
-            c.window = Tally { span, left, ..Tally::default() };
+            c.window = Tally { span, left, follows: follows && c.window.seen > 0.0, ..Tally::default() };
         }
         if let Some(c) = self.customers.get_mut(&id).filter(|c| c.epoch.span != epoch) {
             c.epoch = Tally { span: epoch, owed: c.out, ..Tally::default() };
@@ -278,14 +278,30 @@
         self.sparse() && self.rng.f64() > self.pass.powf(power)
     }
 
-    /// What a customer's quota has room for in this window by a total of the shared count: the window's plain
-    /// allowance, or the store as it is with what the last window left, where this gateway knows. Guards
-    /// against refusing inside the quota: the plain window forgets what the last one left.
+    /// What a customer's quota has room for in this window by a total of the shared count: the store as it is
+    /// with what the last window left, where this gateway heard that one's total, else the window's plain
+    /// allowance at least. Guards against refusing inside the quota, as the plain window forgets what the last
+    /// one left, and against sending on beyond it, as it forgets what the last one spent.
     fn room(&self, customer: CustomerId, total: f64) -> f64 {
+        let follows = self.customers.get(&customer).is_some_and(|c| c.window.follows);
+        if follows {
+            self.store(customer) - total
+        } else {
+            self.room_elsewhere(customer, total)
+        }
+    }
+
+    /// The same for gateways that may not have heard the last window's total.
+    fn room_elsewhere(&self, customer: CustomerId, total: f64) -> f64 {
+        let plan = self.customers.get(&customer).map_or(0, |c| c.plan);
+        self.store(customer).max(self.window_of(plan).1) - total
+    }
+
+    /// What the window before left of the store, and what has come in since.
+    fn store(&self, customer: CustomerId) -> f64 {
         let Some(c) = self.customers.get(&customer) else { return 0.0 };
         let (length, quota) = self.window_of(c.plan);
-        let refill = quota * (1.0 - self.span(customer, length).1.secs() / length.secs());
-        (c.window.left + refill).max(quota) - total
+        c.window.left + quota * (1.0 - self.span(customer, length).1.secs() / length.secs())
     }
 
     /// The counter says nothing of this customer for a while: then the local bucket alone decides.
@@ -440,7 +456,7 @@
         }
         let total = c.window.seen - units;
         // Nobody could use a scrap of room: then it goes back with the next call.
-        if self.breaker.opened.is_none() && self.room(customer, total) >= 1.0 {
+        if self.breaker.opened.is_none() && self.room_elsewhere(customer, total) >= 1.0 {
             self.customers.get_mut(&customer).into_iter().for_each(|c| c.window.seen = total);
             self.call(Purpose::Window, customer, None, -units);
         } else if let Some(c) = self.customers.get_mut(&customer) {
@@ -459,7 +475,9 @@
         let ok = match heard {
             _ if done => return,
             // Under a ceiling what a counter forgot is paid off first.
-            Some(total) if total <= self.window_of(plan).1 => self.beyond_take(customer, plan, 0.0),
+            Some(total) if total <= self.window_of(plan).1 && self.room(customer, total) >= 0.0 => {
+                self.beyond_take(customer, plan, 0.0)
+            }
             Some(total) if self.room(customer, total) >= 0.0 => self.beyond_take(customer, plan, units),
             Some(_) => false,
             // A repeat was refused a moment ago, here or elsewhere: it must be heard.
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,6 +62,8 @@
     pub(crate) seen: f64,
     /// What the window before left of its allowance, as far as is known.
     pub(crate) left: f64,
+    /// A total of the window before was heard, so that what it left is known.
+    pub(crate) follows: bool,
 }
 
 impl Tally {
--- a/tests/window.rs
+++ b/tests/window.rs
@@ -63,6 +63,36 @@
     assert_ne!(adds(&out)[0].0, first);
 }
 
+#[test]
+fn what_the_window_before_spent_is_not_there_again() {
+    let mut rig = Rig::new(settings(), 4);
+    let told = std::cell::Cell::new(0.0);
+    let name = |rig: &mut Rig| {
+        let (_, out) = rig.request(0, 0, 1, 1.0);
+        told.set(told.get() + 1.0);
+        let add = adds(&out);
+        let (id, server) = sends(&rig.tell(Event::Counted(add[0].0, Outcome::Ok, told.get())))[0];
+        rig.ended(id, 0, server, Outcome::Ok);
+        add[0].0
+    };
+    // To the first quarter second of a window; the one before leaves the store full.
+    let first = name(&mut rig);
+    while name(&mut rig) == first {
+        rig.pass(250 * MS);
+    }
+    rig.pass(1_500 * MS);
+    let (_, out) = with_total(&mut rig, 2.0, 35.0);
+    assert_eq!(sends(&out).len(), 1, "a full store and what has come in since hold that much: {out:?}");
+    // Early in the next window five units are left, and at the most three and a half have come in.
+    rig.pass(600 * MS);
+    let (id, out) = with_total(&mut rig, 4.0, 9.0);
+    assert!(refused(&out, id), "a plain window would hold twenty: {out:?}");
+    let back = adds(&out);
+    rig.tell(Event::Counted(back[0].0, Outcome::Ok, 3.0));
+    let (_, out) = with_total(&mut rig, 2.0, 5.0);
+    assert_eq!(sends(&out).len(), 1, "what is there goes on");
+}
+
 #[test]
 fn gateways_agree_on_the_name() {
     let mut other = settings();
