--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -147,7 +147,7 @@
         if let Some(succession) = succession {
             // Until then the process before this one takes the clients.
             let mut state = duty.changes();
-            if state.wait_for(|state| state.listed).await.is_ok() {
+            if state.wait_for(|state| state.listed || state.end > End::Open).await.is_ok() {
                 succession.inherit().await;
             }
             tokio::task::spawn_local(succession.bequeath());
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -39,10 +39,11 @@
 const MAKE_ROOM_EVERY: Duration = Duration::from_millis(2);
 /// How long after SIGTERM new connections are taken; they go on coming for 0.4 s.
 const LAST_CALL: Duration = Duration::from_millis(600);
-/// After SIGTERM what is still open by the first is failed, so that all is answered by the second; SIGKILL
-/// comes 3.7 s on at the earliest.
+/// After SIGTERM what is still unanswered by then is failed; SIGKILL comes 3.7 s on at the earliest.
 const LAST_WAIT: Duration = Duration::from_millis(3200);
-const LAST_ANSWER: Duration = Duration::from_millis(3500);
+/// Long answers that have begun go on after that. To end before them would cut them off, so it takes SIGKILL or
+/// this.
+const LAST_ANSWER: Duration = Duration::from_secs(60);
 
 /// What all connections of clients share.
 pub struct Front {
--- a/tests/sockets/size.rs
+++ b/tests/sockets/size.rs
@@ -278,3 +278,22 @@
     // Idle ones, if each had its two seconds, would let 11 pass in one.
     assert!(start.elapsed() < Duration::from_secs(8), "{:?}", start.elapsed());
 }
+
+#[test]
+fn a_long_answer_goes_on_after_sigterm() {
+    let (listener, _discovery, _counter, mut node) = before_hand(128);
+    let mut client = node.client();
+    client.send(&request("look", 3000));
+    let mut backend = accepted(&listener);
+    backend.head();
+    let half = text(200 * 1024);
+    backend.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{half}", 2 * half.len()));
+    client.head();
+    assert!(client.bytes(half.len()) == half.as_bytes());
+    node.terminate();
+    // Longer than any request without an answer is waited for.
+    std::thread::sleep(Duration::from_millis(4000));
+    backend.send(&half);
+    assert!(client.bytes(half.len()) == half.as_bytes());
+    assert_eq!(node.ended(), Some(0));
+}
