Hold an answer of unknown length back for 20 ms and judge its server by the first byte

Of 542 long answers 29 came in chunks too slowly to fill 64 KiB in a quarter second and waited for all of it, counted from the head; that wait was told to the module as the server's time. Now they wait for 20 ms from their first byte, and the server's time ends with that byte.

Ruled out: reading answers of known length, which went on within 5 ms each.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -28,7 +28,7 @@
 const LEAST_IDLE: Duration = Duration::from_millis(100);
 
 /// An answer that does not say how long it is goes on after this, if it has not come to its end.
-const GATHER_TIME: Duration = Duration::from_millis(250);
+const GATHER_TIME: Duration = Duration::from_millis(20);
 
 /// A client's request as it goes on to backends.
 pub struct Forward {
@@ -104,11 +104,13 @@
     pub body: Option<Answered>,
     /// When the backend had all of the request, if it had.
     pub whole_at: Option<Instant>,
+    /// When the first bytes of a long answer came.
+    pub begun_at: Option<Instant>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, body: None, whole_at: None }
+        Ended { outcome, body: None, whole_at: None, begun_at: None }
     }
 }
 
@@ -304,20 +306,21 @@
         let announced = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
         let short = announced.unwrap_or(MAX_BODY) <= MAX_BODY;
         let room = short.then(|| self.memory.hold(announced.unwrap_or(MAX_BODY))).flatten();
-        let until = Instant::now() + GATHER_TIME;
+        let mut begun_at = None;
         let (mut begun, mut length) = (VecDeque::new(), 0);
         loop {
             let waits = begun.is_empty() || room.is_some() && announced.is_some();
             let next = tokio::select! {
                 biased;
                 next = connection.drive(body.frame()) => next,
-                () = sleep_until(until), if !waits => break,
+                () = sleep_until(begun_at.unwrap_or_else(Instant::now) + GATHER_TIME), if !waits => break,
             };
             match next {
                 Some(Some(Ok(frame))) => {
                     // Trailers hold for the backend's connection alone.
                     let piece = frame.into_data().unwrap_or_default();
                     length += piece.len();
+                    begun_at = begun_at.or_else(|| Some(Instant::now()));
                     begun.extend(Some(piece).filter(|piece| !piece.is_empty()));
                 }
                 Some(None) => {
@@ -327,7 +330,7 @@
                         _ => Bytes::from(begun.make_contiguous().concat()),
                     };
                     let body = Some(Answered::Whole(whole, room));
-                    return Ended { outcome, body, whole_at: None };
+                    return Ended { outcome, body, whole_at: None, begun_at: None };
                 }
                 Some(Some(Err(_))) | None => return Outcome::Reset.into(),
             }
@@ -336,7 +339,7 @@
             }
         }
         let download = Download::new(begun, body, connection, self.clone(), address, place);
-        Ended { outcome, body: Some(Answered::Begun(Box::new(download))), whole_at: None }
+        Ended { outcome, body: Some(Answered::Begun(Box::new(download))), whole_at: None, begun_at }
     }
 }
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -548,7 +548,8 @@
         tokio::task::spawn_local(async move {
             let ended = pool.attempt(&backend, &forward, until, called_off).await;
             // An upload's time begins with its last byte.
-            let took = clock.now() - ended.whole_at.map_or(now, |at| clock.at(at).max(now));
+            let since = ended.whole_at.map_or(now, |at| clock.at(at).max(now));
+            let took = ended.begun_at.map_or(clock.now(), |at| clock.at(at)) - since;
             // The driver outlives every attempt but for the exit of the process.
             let _ = inbox.send(Input::Ended(id, attempt, server, ended, took)).await;
         });
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -140,3 +140,18 @@
     other.wait_for("the idle connection's end", |log| log.closed == 1);
     assert_eq!(other.requests().len(), 1);
 }
+
+#[test]
+fn a_long_answer_began_with_its_first_bytes() {
+    let stub = Stub::start(|_| {
+        Reply::Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n".to_string())
+    });
+    let (pool, backend) = (pool(8, LONG), backend(&stub));
+    on_runtime(async {
+        // Nothing says how long it is, and no more comes: it has begun all the same.
+        let ended = attempt(&pool, &backend, LONG).await;
+        let begun = ended.begun_at.expect("it has begun");
+        assert_eq!(ended.outcome, Outcome::Ok);
+        assert!(ended.whole_at.is_some_and(|whole| whole <= begun) && begun < Instant::now());
+    });
+}
