--- a/src/rules.rs
+++ b/src/rules.rs
@@ -280,8 +280,8 @@
 
     /// What a customer's quota has room for in this window by a total of the shared count: the store as it is
     /// with what the last window left, where this gateway heard that one's total, else the window's plain
-    /// allowance at least. Guards against refusing inside the quota, as the plain window forgets what the last
-    /// one left, and against sending on beyond it, as it forgets what the last one spent.
+    /// allowance at least. Guards against refusing inside the quota, as the plain window forgets what the
+    /// last one left, and against sending on beyond it, as it forgets what the last one spent.
     fn room(&self, customer: CustomerId, total: f64) -> f64 {
         let follows = self.customers.get(&customer).is_some_and(|c| c.window.follows);
         if follows {
@@ -616,8 +616,8 @@
         self.out_now += 1.0;
     }
 
-    /// A server begins with a request's last byte; until then an upload waits for its client and takes none of
-    /// the server's places, or a few slow clients would take all.
+    /// A server begins with a request's last byte; until then an upload waits for its client and takes none
+    /// of the server's places, or a few slow clients would take all.
     fn on_body_ended(&mut self, id: RequestId, deadline: Micros) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.done) else { return };
         (r.a.deadline, r.arrived) = (deadline, self.now);
@@ -631,8 +631,8 @@
         self.timer(Timer::Deadline(id), deadline - self.now - self.set.tick - self.set.tick);
     }
 
-    /// With the first bytes of a long answer its server has done its work: the place is free, and the time was
-    /// the server's. What is left takes as long as the client does.
+    /// With the first bytes of a long answer its server has done its work: the place is free, and the time
+    /// was the server's. What is left takes as long as the client does.
     fn on_answer_begun(&mut self, id: RequestId, attempt: usize, took: Micros) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.streaming = true;
@@ -948,8 +948,8 @@
         self.serve_held();
     }
 
-    /// An operator's word goes before the list's: out, a server counts as draining; put back, it was restarted
-    /// meanwhile, for all that is known, and is cold. Calling twice is as good as once.
+    /// An operator's word goes before the list's: out, a server counts as draining; put back, it was
+    /// restarted meanwhile, for all that is known, and is cold. Calling twice is as good as once.
     fn on_maintenance(&mut self, server: ServerId, out: bool) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&server).filter(|s| s.maintained != out) else { return };
