--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -603,6 +603,38 @@
         answer
     }
 
+    /// Whether a request whose call to the counter is turned away is sent on.
+    fn goes_on_unheard(driver: &mut Driver) -> bool {
+        let (now, mut out) = (driver.clock.now(), Vec::new());
+        let arrival = Arrival {
+            id: RequestId(7),
+            deadline: now + Micros(4_000_000),
+            units: 1.0,
+            spread: 1,
+            ..Arrival::default()
+        };
+        driver.gateway.handle(now, Event::Request(arrival), &mut out);
+        let name = out.iter().find_map(|action| match action {
+            Action::Count(name, ..) => Some(*name),
+            _ => None,
+        });
+        driver.gateway.handle(now, Event::Counted(name.expect("a call"), Outcome::Full, 0.0), &mut out);
+        out.iter().any(|action| matches!(action, Action::Send(..)))
+    }
+
+    #[test]
+    fn what_a_gateway_may_let_in_unheard_goes_over_to_the_younger_process() {
+        let (mut elder, mut younger) = (driver(), driver());
+        elder.turn();
+        younger.turn();
+        let will = serde_json::to_string(&elder.gateway.hand_over()).expect("a text");
+        younger.gateway.take_over(serde_json::from_str(&will).expect("the same"));
+        assert!(!goes_on_unheard(&mut elder) && goes_on_unheard(&mut younger));
+        let mut alone = driver();
+        alone.turn();
+        assert!(goes_on_unheard(&mut alone));
+    }
+
     #[test]
     fn a_send_for_a_client_that_left_unheard_is_told_its_end() {
         let mut driver = driver();
