Serve clients whose connection does not take TCP_NODELAY

Ruled out: accept (it succeeds), the crowd's limits on quiet connections (none was closed by them), discovery (the list is in hand after 0.02 s). At fault: `connection` in src/net/server.rs, which dropped the stream when that option could not be set. The test serves a client over a socket that takes no option of TCP's, and fails without the mend.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -136,9 +136,9 @@
 }
 
 async fn connection(stream: TcpStream, front: Rc<Front>, crowd: Rc<Crowd>) {
+    // Without it answers may come late, which is no reason to hang up. A client that is gone is noticed anyway.
     if let Err(error) = stream.set_nodelay(true) {
-        debug!(%error, "a client went at once");
-        return;
+        debug!(%error, "a client's connection stays without TCP_NODELAY");
     }
     let (peer, socket) = crowd.welcome(stream);
     let service = service_fn(|request| {
@@ -461,3 +461,54 @@
     }
     Some(Quota { units: units?, spread: spread?, first: first? })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::config::SocketLimits;
+    use super::*;
+    use std::os::fd::OwnedFd;
+    use std::os::unix::net::UnixStream;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::sync::mpsc;
+
+    fn front(duty: Rc<Duty>) -> Front {
+        let (inbox, _) = mpsc::channel(1);
+        Front {
+            inbox,
+            clock: Clock::start(),
+            duty,
+            figures: Rc::default(),
+            places: Rc::new(Share::new(4)),
+            memory: Rc::new(Memory::new(32.0, SocketLimits { clients: 4, backends: 4, counter: 1 })),
+            classes: HashMap::new(),
+            plans: HashMap::new(),
+            gateways: 1,
+            most_units: 1.0,
+            last: Cell::new(0),
+        }
+    }
+
+    #[test]
+    fn a_client_whose_connection_takes_no_option_is_served() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            // Such a pair carries bytes as TCP does, but no option of TCP's can be set on it.
+            let (ours, theirs) = UnixStream::pair().expect("a pair");
+            ours.set_nonblocking(true).expect("an option");
+            theirs.set_nonblocking(true).expect("an option");
+            let ours = std::net::TcpStream::from(OwnedFd::from(ours));
+            let stream = TcpStream::from_std(ours).expect("a stream");
+            assert!(stream.set_nodelay(true).is_err(), "else this shows nothing");
+            let duty = Rc::new(Duty::default());
+            duty.listed();
+            duty.serve();
+            let crowd = Rc::new(Crowd::new(duty.clone()));
+            tokio::task::spawn_local(connection(stream, Rc::new(front(duty)), crowd));
+            let mut client = tokio::net::UnixStream::from_std(theirs).expect("a stream");
+            client.write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").await.expect("taken");
+            let mut head = [0; 12];
+            client.read_exact(&mut head).await.expect("an answer");
+            assert_eq!(&head, b"HTTP/1.1 200");
+        });
+    }
+}
