Draw cold servers by chance where many gateways share them

Ruled out: ejection (95 and 96 servers healthy in the lines logged), the counter (2 to 12% of its calls unanswered meanwhile). At fault: `warm_up` in src/rules.rs. It divided a gateway's flow by the weight of the whole fleet, though a gateway sends to its own part of about ten servers, and leave that went unused for 0.25 s lapsed to minus the largest request: half a minute of a gateway's share. A gateway just started knows no flow. Now each request draws once, with a cold server's share of what the own part can do; where hardly any of the part is warm, of what it could do warm, so the sum stays far under the fall-over budget. Two tests with a hundred gateways assert the fleet's sum and fail without the mend.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,8 +58,6 @@
 const EJECT_DOUBLINGS: u32 = 3;
 /// A server that turned a request away is left alone for this long.
 const REST: Micros = Micros(100_000);
-/// How long leave to send to a cold server holds where many gateways share it.
-const COLD_LEAVE: Micros = Micros(250_000);
 /// Retry budget: further attempts earned by each request, and the most saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 20.0;
@@ -776,7 +774,8 @@
 
     /// The allowed server with the least expected wait, beyond the own part only if that has none.
     fn pick(&mut self, id: RequestId) -> Option<ServerId> {
-        self.warm_up();
+        let fresh = self.requests.get(&id).is_some_and(|r| r.attempts.is_empty() && r.held_since.is_none());
+        self.warm_up(fresh);
         let salt = self.rng.u64(..);
         let (reach, scale) = (self.reach(), self.scale());
         let r = self.requests.get(&id)?;
@@ -804,6 +803,8 @@
             let far = if s.zone == self.set.zone { 0.0 } else { 0.05 * scale };
             let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
             score *= 1.0 + 0.1 * (mix(salt ^ sid.0) as f64 / u64::MAX as f64) + far;
+            // Chance has drawn it already.
+            score *= if s.cold_since.is_some() && self.sparse() { 0.0 } else { 1.0 };
             // A server on trial is asked first, or one that failed would never be tried again.
             score *= if s.trial && r.attempts.is_empty() { 0.3 } else { 1.0 };
             if best.is_none_or(|(b, _)| score < b) {
@@ -890,12 +891,14 @@
     /// Guards against pushing over a cold server: it is given the work that a warm one of its size gets from
     /// this gateway, times the part of its capacity that it must have by now. Warm servers bear that load,
     /// and each gateway scales its own, so the sum stays in proportion.
-    fn warm_up(&mut self) {
+    fn warm_up(&mut self, fresh: bool) {
         let (now, set) = (self.now, &self.set);
         if self.servers.values().all(|s| s.cold_since.is_none()) {
             return;
         }
-        let many = self.sparse();
+        if self.sparse() {
+            return self.draw_cold(fresh);
+        }
         let usable = |s: &&Server| s.in_service() && now >= s.ejected_until;
         let warm: f64 =
             self.servers.values().filter(usable).filter(|s| s.cold_since.is_none()).map(|s| s.weight).sum();
@@ -907,13 +910,35 @@
                 s.cold_since = None;
                 continue;
             }
-            let part = set.cold_from + (1.0 - set.cold_from) * ((now - since).secs() / set.cold.secs());
+            let part = warmed(set, now - since);
             s.cold_room.rate = per_weight * s.weight * part * (set.fall_multiple / 2.0).min(1.0);
             s.cold_room.fill(now);
-            // Guards against hundreds of gateways that each saved up one request: unused, leave soon lapses.
-            if many && s.cold_room.level > s.cold_room.rate * COLD_LEAVE.secs() {
-                s.cold_room.level = -set.most_units;
+        }
+    }
+
+    /// Where many gateways share a cold server, each with too few requests to save up leave for one, chance
+    /// decides once for each request: a server of the own part is drawn with its share of what that part can
+    /// do now, or could do warm where hardly any of it is warm. Nothing is saved up and no flow need be known,
+    /// so the sum over all gateways stays in proportion, also when all have just started.
+    fn draw_cold(&mut self, fresh: bool) {
+        let (now, reach) = (self.now, self.reach());
+        let own: Vec<ServerId> = self.own_part_first().take(reach).collect();
+        let (mut warm, mut present, mut all) = (0.0, 0.0, 0.0);
+        for s in own.iter().map(|sid| &self.servers[sid]).filter(|s| now >= s.ejected_until) {
+            all += s.weight;
+            present += s.weight * s.cold_since.map_or(1.0, |at| warmed(&self.set, now - at));
+            warm += if s.cold_since.is_none() { s.weight } else { 0.0 };
+        }
+        let base = if warm * 3.0 >= all { present } else { all };
+        for (sid, s) in &mut self.servers {
+            let Some(since) = s.cold_since else { continue };
+            if now >= since + self.set.cold {
+                s.cold_since = None;
+                continue;
             }
+            let part = s.weight * warmed(&self.set, now - since) * (self.set.fall_multiple / 2.0).min(1.0);
+            let drawn = fresh && own.contains(sid) && self.rng.f64() * base < part;
+            s.cold_room.level = if drawn { self.set.most_units } else { 0.0 };
         }
     }
 
@@ -1076,3 +1101,8 @@
             }
     }
 }
+
+/// The part of its capacity that a server has at least, so long after its start.
+fn warmed(set: &Settings, since: Micros) -> f64 {
+    set.cold_from + (1.0 - set.cold_from) * (since.secs() / set.cold.secs()).min(1.0)
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -144,3 +144,50 @@
     }
     assert!(lowest >= -4.0, "{lowest}");
 }
+
+/// What 100 gateways send to 60 servers within 2 s, of which the first so many have just started: to each.
+fn spread_over_cold(cold: u32, new_gateways: bool) -> Vec<u32> {
+    let mut sent = vec![0; 60];
+    for me in 0..100 {
+        let mut rig = one_of(100, me, 60);
+        for _ in 0..if new_gateways { 0 } else { 20 } {
+            rig.pass(250 * MS);
+            let (id, server) = rig.sent(0);
+            rig.ended(id, 0, server, Outcome::Ok);
+        }
+        let started = Some(rig.now);
+        let entries = (0..cold).map(|i| entry(i, Listed::InService, started)).collect();
+        rig.tell(Event::Servers(ListScope::Changes, entries));
+        for _ in 0..8 {
+            rig.pass(250 * MS);
+            let (id, out) = rig.request(0, 3, 1, 1.0);
+            for (_, server) in sends(&out) {
+                sent[server.0 as usize] += 1;
+                rig.ended(id, 0, server, Outcome::Ok);
+            }
+        }
+    }
+    sent
+}
+
+#[test]
+fn a_cold_server_gets_its_share_from_all_gateways_together_and_no_more() {
+    for new_gateways in [false, true] {
+        let sent = spread_over_cold(36, new_gateways);
+        let (cold, warm): (u32, u32) = (sent[..36].iter().sum(), sent[36..].iter().sum());
+        // From 0.2 of its capacity to 0.36 after 2 s: 36 of them can do about as much as ten warm ones.
+        let share = f64::from(cold) / f64::from(cold + warm);
+        assert!((0.15..0.4).contains(&share), "{share}, new gateways: {new_gateways}: {sent:?}");
+        // Three times what it can do brings it down; warm ones have more than twice as much each.
+        let most = f64::from(warm) / 24.0;
+        assert!(sent[..36].iter().all(|&n| f64::from(n) < most), "{sent:?}");
+    }
+}
+
+#[test]
+fn where_every_server_is_cold_nobody_sends_them_what_warm_ones_bear() {
+    let sent = spread_over_cold(60, true);
+    let all: u32 = sent.iter().sum();
+    // Of 800 requests about the part that they can do by now: 0.2 to 0.36.
+    assert!((100..340).contains(&all), "{all}: {sent:?}");
+}
