Choose servers by their load reports, spread wider the less of a load is one's own

At fault: `Driver::ended` in src/net/driver.rs passed an empty report on, and `pick` in src/rules.rs took the least smoothed latency wherever a gateway had nothing out: the same server for all that share it. Now reports are read from X-Load-Report (what can't be read is passed over), what a server said fades to the mean, and chance widens by 1 - scale; where few gateways share the servers nothing changes.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -6,7 +6,8 @@
 use super::memory::Memory;
 use super::share::Share;
 use super::upload::{Sending, Upload};
-use crate::api::Outcome;
+use crate::api::{Outcome, Report};
+use crate::settings::note;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -23,6 +24,7 @@
 /// How long the client waits; to a backend: how long this gateway does.
 pub const BUDGET: HeaderName = HeaderName::from_static("x-budget-ms");
 const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
+const LOAD_REPORT: HeaderName = HeaderName::from_static("x-load-report");
 
 /// However early kept connections break, one that stood idle for no longer than this is used again.
 const LEAST_IDLE: Duration = Duration::from_millis(100);
@@ -106,11 +108,13 @@
     pub whole_at: Option<Instant>,
     /// When the first bytes of a long answer came.
     pub begun_at: Option<Instant>,
+    /// What the backend said of its load.
+    pub report: Report,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, body: None, whole_at: None, begun_at: None }
+        Ended { outcome, body: None, whole_at: None, begun_at: None, report: Report::default() }
     }
 }
 
@@ -295,13 +299,14 @@
         place: OwnedSemaphorePermit,
     ) -> Ended {
         let outcome = outcome_of(&response);
+        let report = report_of(response.headers());
         let mut body = response.into_body();
         if outcome != Outcome::Ok {
             let read = connection.drive(Limited::new(body, MAX_BODY).collect()).await;
             if matches!(read, Some(Ok(_))) {
                 self.give_back(address, connection);
             }
-            return outcome.into();
+            return Ended { report, ..outcome.into() };
         }
         let announced = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
         let short = announced.unwrap_or(MAX_BODY) <= MAX_BODY;
@@ -330,7 +335,7 @@
                         _ => Bytes::from(begun.make_contiguous().concat()),
                     };
                     let body = Some(Answered::Whole(whole, room));
-                    return Ended { outcome, body, whole_at: None, begun_at: None };
+                    return Ended { body, report, ..outcome.into() };
                 }
                 Some(Some(Err(_))) | None => return Outcome::Reset.into(),
             }
@@ -339,10 +344,23 @@
             }
         }
         let download = Download::new(begun, body, connection, self.clone(), address, place);
-        Ended { outcome, body: Some(Answered::Begun(Box::new(download))), whole_at: None, begun_at }
+        let body = Some(Answered::Begun(Box::new(download)));
+        Ended { body, begun_at, report, ..outcome.into() }
     }
 }
 
+/// What a backend says of its load: `TEXT name=number, name=number`. What can't be read is passed over.
+fn report_of(headers: &HeaderMap) -> Report {
+    let mut report = Report::default();
+    let text = headers.get(LOAD_REPORT).and_then(|v| v.to_str().ok()?.strip_prefix("TEXT "));
+    for pair in text.into_iter().flat_map(|text| text.split(',')) {
+        if let Some((name, Ok(value))) = pair.trim().split_once('=').map(|(n, v)| (n, v.parse())) {
+            note(&mut report, name, value);
+        }
+    }
+    report
+}
+
 /// What an answer says. Guards against taking a bare 503 or 504 for a turn-away: only the header proves that
 /// the request never ran.
 fn outcome_of<T>(response: &Response<T>) -> Outcome {
@@ -353,3 +371,25 @@
         _ => Outcome::Error,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Report {
+        let mut headers = HeaderMap::new();
+        headers.insert(LOAD_REPORT, HeaderValue::from_str(text).expect("a header"));
+        report_of(&headers)
+    }
+
+    #[test]
+    fn a_load_report_is_read_as_far_as_it_makes_sense() {
+        let whole = Report { inflight: Some(7.0), queue: Some(2.0), busy: Some(0.61) };
+        assert_eq!(read("TEXT concurrent=7, depth=2, load_share=0.61, tps=3"), whole);
+        let busy = Report { busy: Some(0.5), ..Report::default() };
+        assert_eq!(read("TEXT concurrent=NaN,depth=-1, load_share=0.5"), busy);
+        assert_eq!(read("TEXT concurrent=, =, ,load_share=0.5=,"), Report::default());
+        assert_eq!(read("BINARY concurrent=7"), Report::default());
+        assert_eq!(report_of(&HeaderMap::new()), Report::default());
+    }
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -410,12 +410,12 @@
                     None => {}
                 }
                 self.attempt_over(id, attempt);
-                self.ended(id, attempt, server, ended.outcome, took);
+                self.ended(id, attempt, server, ended.outcome, took, ended.report);
             }
             Input::Passed(id, attempt, server, whole) => {
                 self.attempt_over(id, attempt);
                 let outcome = if whole { Outcome::Ok } else { Outcome::Reset };
-                self.ended(id, attempt, server, outcome, Micros(0));
+                self.ended(id, attempt, server, outcome, Micros(0), Report::default());
             }
         }
     }
@@ -426,10 +426,17 @@
     }
 
     /// Tells the module of an attempt's end with the next batch.
-    fn ended(&mut self, id: RequestId, attempt: usize, server: ServerId, outcome: Outcome, took: Micros) {
+    fn ended(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        outcome: Outcome,
+        took: Micros,
+        report: Report,
+    ) {
         let ended = self.requests.get(&id).is_none_or(|open| open.reply.is_none());
-        let (settled, report) = (None, Report::default());
-        let end = AttemptEnd { id, attempt, server, outcome, took, ended, settled, report };
+        let end = AttemptEnd { id, attempt, server, outcome, took, ended, settled: None, report };
         self.batch.push(Event::AttemptEnded(end));
     }
 
@@ -539,7 +546,7 @@
         let Some(backend) = backend else {
             // The client went, or the list changed, after the module was told last.
             open.attempts.push(Attempt { out: false, call_off: None });
-            return self.ended(id, attempt, server, Outcome::Moot, Micros(0));
+            return self.ended(id, attempt, server, Outcome::Moot, Micros(0), Report::default());
         };
         let (call_off, called_off) = oneshot::channel();
         open.attempts.push(Attempt { out: true, call_off: Some(call_off) });
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,6 +47,8 @@
 /// What a late answer leaves of the part that passes, what others add.
 const PASS_CUT: f64 = 0.85;
 const PASS_GROW: f64 = 0.01;
+/// How fast what a server said of its load goes stale, in seconds.
+const TOLD_SPAN: f64 = 1.0;
 /// Attempts that a gateway with a small part may have out, whatever the bounds: fewer hold what comes by
 /// chance at the same moment.
 const FEW_OUT: f64 = 2.0;
@@ -130,6 +132,8 @@
     /// Smoothed over all servers: time to answer, share of attempts that failed or came too late.
     latency: f64,
     fail_share: f64,
+    /// The same of how many requests servers say they hold.
+    inflight: f64,
     /// Part of the requests of usual worth that the servers can take, and the usual worth.
     pass: f64,
     usual_worth: f64,
@@ -725,6 +729,7 @@
         if !placed && !streaming {
             self.take_place(end.server); // An upload that ended early is judged like any other attempt.
         }
+        self.hear(end.server, end.report);
         if placed || !streaming {
             self.judge(end.server, outcome, end.took, aim);
         }
@@ -801,8 +806,13 @@
             let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
             let tried = r.attempts.iter().filter(|a| a.server == sid).count() as f64;
             let far = if s.zone == self.set.zone { 0.0 } else { 0.05 * scale };
-            let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
-            score *= 1.0 + 0.1 * (mix(salt ^ sid.0) as f64 / u64::MAX as f64) + far;
+            // The less of a server's load is this gateway's own, the more its word counts, and the wider the
+            // choice is spread: guards against all gateways at once taking the server that looked best.
+            let others = 1.0 - scale;
+            let mut score = (s.out + 1.0 + others * self.expected(s)) * slow / s.weight
+                * (1.0 + 3.0 * s.fail_share)
+                + 4.0 * tried;
+            score *= 1.0 + (0.1 + others) * (mix(salt ^ sid.0) as f64 / u64::MAX as f64) + far;
             // Chance has drawn it already.
             score *= if s.cold_since.is_some() && self.sparse() { 0.0 } else { 1.0 };
             // A server on trial is asked first, or one that failed would never be tried again.
@@ -820,6 +830,20 @@
 
     // ---- health and cold starts ----
 
+    /// What a server says of its load is the one word on what the other gateways do to it.
+    fn hear(&mut self, server: ServerId, report: Report) {
+        if let Some(inflight) = report.inflight {
+            self.inflight += SMOOTH * (inflight - self.inflight);
+            self.servers.get_mut(&server).into_iter().for_each(|s| s.told = Some((inflight, self.now)));
+        }
+    }
+
+    /// How many requests a server is expected to hold: as it said last, the less so the longer ago.
+    fn expected(&self, s: &Server) -> f64 {
+        let told = s.told.map(|(inflight, at)| (inflight, (-(self.now - at).secs() / TOLD_SPAN).exp()));
+        told.map_or(self.inflight, |(inflight, trust)| self.inflight + trust * (inflight - self.inflight))
+    }
+
     fn judge(&mut self, server: ServerId, outcome: Outcome, took: Micros, aim: Micros) {
         let now = self.now;
         let (jitter, scale) = (0.75 + 0.5 * self.rng.f64(), self.scale());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -201,6 +201,17 @@
     }
 }
 
+/// Puts a value of a load report in its place; those that say nothing here are passed over.
+pub(crate) fn note(report: &mut Report, name: &str, value: f64) {
+    let place = match name {
+        "concurrent" => &mut report.inflight,
+        "depth" => &mut report.queue,
+        "load_share" => &mut report.busy,
+        _ => return,
+    };
+    *place = Some(value).filter(|v| v.is_finite() && *v >= 0.0);
+}
+
 fn zone_id(zones: &mut HashMap<String, u32>, name: &str) -> ZoneId {
     let next = zones.len() as u32;
     ZoneId(*zones.entry(name.to_string()).or_insert(next))
--- a/src/state.rs
+++ b/src/state.rs
@@ -153,6 +153,9 @@
     pub(crate) unreached_since: Option<Micros>,
     pub(crate) cold_since: Option<Micros>,
     pub(crate) cold_room: TokenBucket,
+    /// How many requests it said it holds, and when.
+    #[serde(skip)]
+    pub(crate) told: Option<(f64, Micros)>,
 }
 
 impl Server {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,7 +2,7 @@
 
 use crate::api::*;
 use crate::rules::Gateway;
-use crate::settings::{FieldError, Fields, Result, Site};
+use crate::settings::{note, FieldError, Fields, Result, Site};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
@@ -26,10 +26,7 @@
         for pair in self.pairs.get("report").into_iter().flat_map(|r| r.split(',')) {
             let value = pair.split_once(':').and_then(|(k, v)| Some((k, v.parse::<f64>().ok()?)));
             match value {
-                Some(("concurrent", v)) => report.inflight = Some(v),
-                Some(("depth", v)) => report.queue = Some(v),
-                Some(("load_share", v)) => report.busy = Some(v),
-                Some(_) => {}
+                Some((name, v)) => note(&mut report, name, v),
                 None if pair.is_empty() => {}
                 None => return self.fail("report", "name:number pairs"),
             }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -191,3 +191,25 @@
     // Of 800 requests about the part that they can do by now: 0.2 to 0.36.
     assert!((100..340).contains(&all), "{all}: {sent:?}");
 }
+
+#[test]
+fn gateways_turn_from_a_server_that_says_it_is_full_and_not_all_to_the_same_one() {
+    let (mut to_full, mut to_next) = (0, BTreeMap::new());
+    for me in 0..100 {
+        // As many servers as are in one gateway's own part: all gateways have the same choice.
+        let mut rig = one_of(100, me, 8);
+        for _ in 0..40 {
+            rig.pass(100 * MS);
+            let (id, server) = rig.sent(0);
+            let inflight = Some(if server.0 == 0 { 12.0 } else { 1.0 });
+            let (report, took) = (Report { inflight, ..Report::default() }, Micros(50 * MS));
+            let (outcome, ended) = (Outcome::Ok, true);
+            let end = AttemptEnd { id, attempt: 0, server, outcome, took, ended, settled: None, report };
+            rig.tell(Event::AttemptEnded(end));
+            to_full += u32::from(server.0 == 0);
+        }
+        *to_next.entry(rig.sent(0).1).or_insert(0) += 1;
+    }
+    assert!(to_full < 300, "{to_full} of 4000, an eighth is 500");
+    assert!(to_next.values().all(|&n| n < 35), "all at the same moment: {to_next:?}");
+}
