--- a/src/rules.rs
+++ b/src/rules.rs
@@ -942,8 +942,8 @@
 
     /// Where many gateways share a cold server, each with too few requests to save up leave for one, chance
     /// decides once for each request: a server of the own part is drawn with its share of what that part can
-    /// do now, or could do warm where hardly any of it is warm. Nothing is saved up and no flow need be known,
-    /// so the sum over all gateways stays in proportion, also when all have just started.
+    /// do now, or could do warm where hardly any of it is warm. Nothing is saved up and no flow need be
+    /// known, so the sum over all gateways stays in proportion, also when all have just started.
     fn draw_cold(&mut self, fresh: bool) {
         let (now, reach) = (self.now, self.reach());
         let own: Vec<ServerId> = self.own_part_first().take(reach).collect();
