Shed by late answers alone, without the usual time of all classes

Of 26,719 previews answered 6 took longer than their aim and 2,794 counted as late, at 0.1 busy servers nearly as often as at 0.9 busy ones. At fault: judge in src/rules.rs, 'held = took + 2 * latency', a usual time over classes whose aims differ by four. Now the part that passes goes by the answer's own time; the bound on places is as it was.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -852,10 +852,14 @@
         self.out_now = (self.out_now - 1.0).max(0.0);
         // Guards against servers that hold too much and work worse for it, by overload or by a trouble of
         // their own: the bound gives way fast and comes back slowly. May hurt just after short stalls.
-        let held = took + Micros(2 * s.latency as u64);
-        let late = matches!(outcome, Outcome::Ok | Outcome::Cancelled) && held > aim.times(LATE_PART);
-        let jammed = late || matches!(outcome, Outcome::Full | Outcome::Timeout);
-        self.pass = if jammed { self.pass * PASS_CUT } else { self.pass + PASS_GROW }.clamp(LEAST_PART, 1.0);
+        let answered = matches!(outcome, Outcome::Ok | Outcome::Cancelled);
+        let late = |time: Micros| answered && time > aim.times(LATE_PART);
+        let turned = matches!(outcome, Outcome::Full | Outcome::Timeout);
+        let jammed = turned || late(took + Micros(2 * s.latency as u64));
+        // Shedding goes by the answer alone: the usual time is that of all classes, and of a class with a
+        // short aim every longer piece of work would speak for overload, at servers half idle.
+        let missed = turned || late(took);
+        self.pass = if missed { self.pass * PASS_CUT } else { self.pass + PASS_GROW }.clamp(LEAST_PART, 1.0);
         if jammed {
             s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
         } else if outcome == Outcome::Ok
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -62,6 +62,29 @@
     assert!(refusals(700 * MS) > 100, "one at a time, never two out, and still it sheds");
 }
 
+#[test]
+fn work_of_a_class_with_a_long_aim_does_not_make_one_with_a_short_aim_shed() {
+    let mut set = Settings { gateways: 200, me: 3, ..settings() };
+    set.classes[0].aim = Micros(250 * MS);
+    let mut rig = Rig::seeded(3, set, 50);
+    let mut refusals = 0;
+    for i in 0..300 {
+        rig.pass(700 * MS);
+        // Long work that is in time by far, and short work that ends at half of its aim.
+        let (class, took) = if i % 2 == 0 { (3, 150 * MS) } else { (0, 125 * MS) };
+        let (id, out) = rig.request(class, 3, 1, 1.0);
+        refusals += u32::from(refused(&out, id));
+        for (_, server) in sends(&out) {
+            rig.pass(took);
+            let (outcome, report, took) = (Outcome::Ok, Report::default(), Micros(took));
+            let end =
+                AttemptEnd { id, attempt: 0, server, outcome, took, ended: true, settled: None, report };
+            rig.tell(Event::AttemptEnded(end));
+        }
+    }
+    assert_eq!(refusals, 0, "every answer was in time");
+}
+
 #[test]
 fn who_is_shed_is_told_when_to_come_back() {
     let mut rig = one_of(200, 3, 50);
