Fill what may go on unheard under a ceiling from the gateway's start

At fault: on_request in src/rules.rs, 'c.beyond.at = now' for a customer not seen before, however long the gateway has been up. Now it fills from the start of this life of the gateway (or of being alone again), at most for the time after which an idle customer is forgotten. The bound on the fleet's sum is the same; a test holds seven gateways to it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -111,6 +111,8 @@
     set: Settings,
     rng: fastrand::Rng,
     now: Micros,
+    /// When it began to let customers in by itself.
+    since: Option<Micros>,
     out: Vec<Action>,
     breaker: Breaker,
     /// Share of requests that ask the counter.
@@ -157,6 +159,7 @@
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.since = self.since.or(Some(self.now));
         match event {
             Event::Servers(scope, entries) => self.on_servers(scope, entries),
             Event::Request(arrival) => self.on_request(arrival),
@@ -249,7 +252,9 @@
         self.timer(Timer::Deadline(id), a.deadline - now - self.set.tick - self.set.tick);
         let c = self.customers.entry(customer).or_default();
         if c.used == Micros(0) {
-            c.beyond.at = now; // Starts empty: an earlier life of this gateway may have spent it.
+            // Empty at the start of this life, as an earlier one may have spent it. From then on it has filled,
+            // though the customer came only now: with many gateways most see it for the first time.
+            c.beyond.at = self.since.unwrap_or(now).max(now - FORGET);
         }
         (c.plan, c.spread, c.used) = (plan, f64::from(a.spread.max(1)), now);
         // Where clients do not mark repeats: the like of what was refused here a moment ago.
@@ -1026,6 +1031,7 @@
     /// buckets, as after a restart: its share had gone to the younger.
     fn on_alone(&mut self) {
         if std::mem::take(&mut self.role) == Role::Elder {
+            self.since = Some(self.now);
             for c in self.customers.values_mut() {
                 (c.beyond.level, c.beyond.at, c.bucket) = (0.0, self.now, None);
             }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -168,6 +168,43 @@
     assert!(lowest >= -4.0, "{lowest}");
 }
 
+/// What seven gateways let go unheard of one customer of plan 1 after so long, a unit at a time.
+fn goes_unheard(up: u64, again: u32) -> f64 {
+    let mut units = 0.0;
+    for me in 0..7 {
+        let mut rig = one_of(300, me, 50);
+        rig.pass(up);
+        for _ in 0..again {
+            let id = RequestId(rig.next);
+            rig.next += 1;
+            let deadline = Micros(rig.now + 3 * S);
+            let (plan, customer) = (PlanId(1), CustomerId(9));
+            let a = Arrival { id, plan, customer, spread: 7, deadline, units: 1.0, ..Arrival::default() };
+            let mut out = rig.tell(Event::Request(a));
+            for (name, _) in counts(&out) {
+                out.extend(rig.tell(Event::Counted(name, Outcome::Full, 0.0)));
+            }
+            for (id, server) in sends(&out) {
+                units += 1.0;
+                rig.ended(id, 0, server, Outcome::Ok);
+            }
+        }
+    }
+    units
+}
+
+#[test]
+fn a_customer_new_to_a_gateway_goes_on_unheard_by_what_came_in_since_the_gateway_started() {
+    assert_eq!(goes_unheard(0, 1), 0.0, "an earlier life may have spent it");
+    assert_eq!(goes_unheard(5 * S, 1), 7.0, "nothing of it can be spent");
+    // Between quota and ceiling 20 units and ten a second, over all gateways together.
+    for up in [S, 5 * S, 100 * S, 1_000 * S] {
+        let sum = goes_unheard(up, 20);
+        let most = (10.0 * up as f64 / S as f64).min(20.0);
+        assert!(sum <= most, "{sum} of {most} after {up}");
+    }
+}
+
 /// What 100 gateways send to 60 servers within 2 s, of which the first so many have just started: to each.
 fn spread_over_cold(cold: u32, new_gateways: bool) -> Vec<u32> {
     let mut sent = vec![0; 60];
