Give up early only attempts at servers that failed of late

At fault: send in src/rules.rs, where 'again' asked nothing of the server. A server goes on with work that is given up, and the repeat comes on top: little at one gateway, a tenth of the load by 300. Now a server must have failed in one of its last six attempts or so, or be on trial.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,6 +58,8 @@
 const EJECT_SHARE: f64 = 0.3;
 const EJECT_FIRST: Micros = Micros(1_000_000);
 const EJECT_DOUBLINGS: u32 = 3;
+/// Smoothed share of failures above which attempts at a server are given up early: one in the last six or so.
+const SUSPECT_SHARE: f64 = SMOOTH / 2.0;
 /// A server that turned a request away is left alone for this long.
 const REST: Micros = Micros(100_000);
 /// Retry budget: further attempts earned by each request, and the most saved up.
@@ -252,8 +254,8 @@
         self.timer(Timer::Deadline(id), a.deadline - now - self.set.tick - self.set.tick);
         let c = self.customers.entry(customer).or_default();
         if c.used == Micros(0) {
-            // Empty at the start of this life, as an earlier one may have spent it. From then on it has filled,
-            // though the customer came only now: with many gateways most see it for the first time.
+            // Empty at the start of this life, as an earlier one may have spent it. It has filled since, though
+            // the customer came only now: with many gateways most see it for the first time.
             c.beyond.at = self.since.unwrap_or(now).max(now - FORGET);
         }
         (c.plan, c.spread, c.used) = (plan, f64::from(a.spread.max(1)), now);
@@ -592,16 +594,19 @@
 
     fn send(&mut self, id: RequestId, server: ServerId) {
         let now = self.now;
+        let suspect = self.servers.get(&server).is_some_and(|s| s.trial || s.fail_share > SUSPECT_SHARE);
         let Some(r) = self.requests.get_mut(&id) else { return };
         let class = &self.set.classes[r.a.class.0];
-        // An attempt is given up while another could still meet the aim. Guards against servers that fall
-        // silent. Not while attempts fail or are late everywhere: giving up wastes work in overload.
+        // An attempt at a server that failed of late is given up while another could still meet the aim.
+        // Guards against servers that fall silent. Not at others: there the work is long, it goes on all the
+        // same, and its repeat comes on top at every gateway. Nor while attempts fail everywhere.
         let again = class.effect != Effect::Unsafe
             && !class.stream
             && !r.a.upload
             && r.attempts.len() + 1 < self.set.max_attempts
             && (class.effect == Effect::Safe || class.group == Group::All)
-            && self.fail_share < CALM_SHARE;
+            && self.fail_share < CALM_SHARE
+            && suspect;
         let early = r.arrived + class.aim.times(1.0 - SPARE_PART);
         let until = if again && early > now + class.aim.times(SPARE_PART) { early } else { r.a.deadline };
         let placed = !r.a.upload;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -85,6 +85,36 @@
     assert_eq!(refusals, 0, "every answer was in time");
 }
 
+/// Until when an attempt that was just sent is waited for, after its request's arrival now.
+fn patience(rig: &Rig, out: &[Action]) -> u64 {
+    let until = out.iter().find_map(|a| if let Action::Send(_, _, until) = a { Some(until.0) } else { None });
+    until.expect("it is sent on") - rig.now
+}
+
+#[test]
+fn long_work_is_waited_for_and_only_a_server_that_failed_of_late_is_given_up_early() {
+    for gateways in [2, 300] {
+        let mut rig = Rig::seeded(3, Settings { gateways, me: 1, ..settings() }, 1);
+        for _ in 0..10 {
+            rig.pass(100 * MS);
+            let (id, out) = rig.request(0, 3, 1, 1.0);
+            assert_eq!(patience(&rig, &out), 3 * S, "a sound server has all of the client's time");
+            rig.ended(id, 0, ServerId(0), Outcome::Ok);
+        }
+        let (id, server) = rig.sent(0);
+        let out = rig.ended(id, 0, server, Outcome::Error);
+        let again = patience(&rig, &out);
+        assert!((400 * MS..800 * MS).contains(&again), "{again}: another could still meet the aim");
+        rig.ended(id, 1, server, Outcome::Ok);
+        for _ in 0..10 {
+            let (id, server) = rig.sent(0);
+            rig.ended(id, 0, server, Outcome::Ok);
+        }
+        let (_, out) = rig.request(0, 3, 1, 1.0);
+        assert_eq!(patience(&rig, &out), 3 * S, "it answers again");
+    }
+}
+
 #[test]
 fn who_is_shed_is_told_when_to_come_back() {
     let mut rig = one_of(200, 3, 50);
