--- a/src/rules.rs
+++ b/src/rules.rs
@@ -254,7 +254,7 @@
         self.timer(Timer::Deadline(id), a.deadline - now - self.set.tick - self.set.tick);
         let c = self.customers.entry(customer).or_default();
         if c.used == Micros(0) {
-            // Empty at the start of this life, as an earlier one may have spent it. It has filled since, though
+            // Empty at the start of this life, as an earlier one may have spent it. Filled since, though
             // the customer came only now: with many gateways most see it for the first time.
             c.beyond.at = self.since.unwrap_or(now).max(now - FORGET);
         }
