Test that a process alone again lets nobody on by what came in before

The start from which a customer's share under a ceiling fills moves on when the other process of the gateway is gone (on_alone in src/rules.rs). Without that line the test fails: a customer not seen yet would go on by what the younger process may have spent. The program is unchanged.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -595,7 +595,11 @@
             "plans":[{"name":"team","per_second":10.0,"peak_units":20.0,"price":1.0}],"rules":{}}}"#;
 
     fn driver() -> Driver {
-        let config = Config::parse(CONFIG, None, None).expect("a configuration");
+        driver_of(CONFIG)
+    }
+
+    fn driver_of(config: &str) -> Driver {
+        let config = Config::parse(config, None, None).expect("a configuration");
         let memory = Rc::new(Memory::new(config.memory_mb, config.sockets));
         Driver::new(config, Clock::start(), Rc::default(), Rc::default(), memory).expect("settings").0
     }
@@ -612,9 +616,16 @@
 
     /// Whether a request whose call to the counter is turned away is sent on.
     fn goes_on_unheard(driver: &mut Driver) -> bool {
-        let (now, mut out) = (driver.clock.now(), Vec::new());
+        let now = driver.clock.now();
+        goes_on_unheard_at(driver, now, 0)
+    }
+
+    /// The same at that time, for a customer.
+    fn goes_on_unheard_at(driver: &mut Driver, now: Micros, customer: u64) -> bool {
+        let mut out = Vec::new();
         let arrival = Arrival {
-            id: RequestId(7),
+            id: RequestId(7 + customer),
+            customer: CustomerId(customer),
             deadline: now + Micros(4_000_000),
             units: 1.0,
             spread: 1,
@@ -642,6 +653,19 @@
         assert!(goes_on_unheard(&mut alone));
     }
 
+    #[test]
+    fn a_process_that_is_alone_again_lets_nobody_on_by_what_came_in_before() {
+        let ceiling = r#""price":1.0,"ceiling_rate":20.0,"cap_depth":40.0"#;
+        let mut elder = driver_of(&CONFIG.replace(r#""price":1.0"#, ceiling));
+        elder.turn();
+        let later = |seconds: u64| elder.clock.now() + Micros(seconds * 1_000_000);
+        let (back, after) = (later(60), later(70));
+        elder.gateway.hand_over();
+        elder.gateway.handle(back, Event::Alone, &mut Vec::new());
+        assert!(!goes_on_unheard_at(&mut elder, back, 1), "the younger process may have spent it");
+        assert!(goes_on_unheard_at(&mut elder, after, 2), "nobody else can have spent what came in since");
+    }
+
     #[test]
     fn a_send_for_a_client_that_left_unheard_is_told_its_end() {
         let mut driver = driver();
