Log senseless load reports and counter answers, once in ten seconds

At fault: report_of in src/net/backend.rs passed such reports over without a word, and reading in src/net/counter.rs warned for each answer. Ruled out by reading: the list, of whose failures discovery.rs logs the first alone.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -5,6 +5,7 @@
 use super::http::{CallError, Connection, MAX_BODY};
 use super::memory::Memory;
 use super::share::Share;
+use super::sparing::Sparing;
 use super::upload::{Sending, Upload};
 use crate::api::{Outcome, Report};
 use crate::settings::note;
@@ -20,6 +21,7 @@
 use std::time::Duration;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 use tokio::time::{sleep_until, timeout, Instant};
+use tracing::warn;
 
 /// How long the client waits; to a backend: how long this gateway does.
 pub const BUDGET: HeaderName = HeaderName::from_static("x-budget-ms");
@@ -129,6 +131,7 @@
     idle_limit: Duration,
     figures: Rc<Figures>,
     memory: Rc<Memory>,
+    garbled: Sparing,
 }
 
 impl Pool {
@@ -143,7 +146,8 @@
         // Guards against writing to a connection that its backend is about to close: half the time is left.
         let idle_limit = conn_idle / 2;
         let (idle, places) = (RefCell::default(), Share::new(connections));
-        Pool { idle, places, dial_timeout, longest_idle: Cell::new(idle_limit), idle_limit, figures, memory }
+        let (longest_idle, garbled) = (Cell::new(idle_limit), Sparing::default());
+        Pool { idle, places, dial_timeout, longest_idle, idle_limit, figures, memory, garbled }
     }
 
     /// The connection used last is taken first, so that those not needed age and are retired.
@@ -299,7 +303,10 @@
         place: OwnedSemaphorePermit,
     ) -> Ended {
         let outcome = outcome_of(&response);
-        let report = report_of(response.headers());
+        let (report, whole) = report_of(response.headers());
+        if !whole && self.garbled.speaks(Instant::now()) {
+            warn!(%address, "a load report makes no sense; what can't be read of it is passed over");
+        }
         let mut body = response.into_body();
         if outcome != Outcome::Ok {
             let read = connection.drive(Limited::new(body, MAX_BODY).collect()).await;
@@ -350,15 +357,21 @@
 }
 
 /// What a backend says of its load: `TEXT name=number, name=number`. What can't be read is passed over.
-fn report_of(headers: &HeaderMap) -> Report {
+/// Also tells whether all of it could be read.
+fn report_of(headers: &HeaderMap) -> (Report, bool) {
     let mut report = Report::default();
-    let text = headers.get(LOAD_REPORT).and_then(|v| v.to_str().ok()?.strip_prefix("TEXT "));
-    for pair in text.into_iter().flat_map(|text| text.split(',')) {
-        if let Some((name, Ok(value))) = pair.trim().split_once('=').map(|(n, v)| (n, v.parse())) {
-            note(&mut report, name, value);
+    let Some(header) = headers.get(LOAD_REPORT) else { return (report, true) };
+    let Some(text) = header.to_str().ok().and_then(|text| text.strip_prefix("TEXT ")) else {
+        return (report, false);
+    };
+    let mut whole = true;
+    for pair in text.split(',') {
+        match pair.trim().split_once('=').map(|(name, value)| (name, value.parse::<f64>())) {
+            Some((name, Ok(value))) if value.is_finite() && value >= 0.0 => note(&mut report, name, value),
+            _ => whole = false,
         }
     }
-    report
+    (report, whole)
 }
 
 /// What an answer says. Guards against taking a bare 503 or 504 for a turn-away: only the header proves that
@@ -376,7 +389,7 @@
 mod tests {
     use super::*;
 
-    fn read(text: &str) -> Report {
+    fn read(text: &str) -> (Report, bool) {
         let mut headers = HeaderMap::new();
         headers.insert(LOAD_REPORT, HeaderValue::from_str(text).expect("a header"));
         report_of(&headers)
@@ -385,11 +398,11 @@
     #[test]
     fn a_load_report_is_read_as_far_as_it_makes_sense() {
         let whole = Report { inflight: Some(7.0), queue: Some(2.0), busy: Some(0.61) };
-        assert_eq!(read("TEXT concurrent=7, depth=2, load_share=0.61, tps=3"), whole);
+        assert_eq!(read("TEXT concurrent=7, depth=2, load_share=0.61, tps=3"), (whole, true));
         let busy = Report { busy: Some(0.5), ..Report::default() };
-        assert_eq!(read("TEXT concurrent=NaN,depth=-1, load_share=0.5"), busy);
-        assert_eq!(read("TEXT concurrent=, =, ,load_share=0.5=,"), Report::default());
-        assert_eq!(read("BINARY concurrent=7"), Report::default());
-        assert_eq!(report_of(&HeaderMap::new()), Report::default());
+        assert_eq!(read("TEXT concurrent=NaN,depth=-1, load_share=0.5"), (busy, false));
+        assert_eq!(read("TEXT concurrent=, =, ,load_share=0.5=,"), (Report::default(), false));
+        assert_eq!(read("BINARY concurrent=7"), (Report::default(), false));
+        assert_eq!(report_of(&HeaderMap::new()), (Report::default(), true), "none is none");
     }
 }
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -2,6 +2,7 @@
 
 use super::http::{CallError, Connection};
 use super::share::Share;
+use super::sparing::Sparing;
 use super::upload::Sending;
 use crate::api::{CountName, Micros, Outcome};
 use bytes::Bytes;
@@ -41,13 +42,21 @@
     connections: usize,
     idle: RefCell<Vec<Connection>>,
     lines: Share,
+    garbled: Sparing,
 }
 
 impl Counter {
     /// Calls go over at most so many connections and are given up after `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration, connections: usize) -> Counter {
         let lines = Share::new(connections);
-        Counter { address, timeout, connections, idle: RefCell::default(), lines }
+        Counter {
+            address,
+            timeout,
+            connections,
+            idle: RefCell::default(),
+            lines,
+            garbled: Sparing::default(),
+        }
     }
 
     /// The way to the counter at another address, over new connections.
@@ -84,7 +93,9 @@
             wrote.set(true);
             match connection.call(self.request(name, amount, life)).await {
                 Ok(response) => {
-                    let counted = reading(response.status(), response.body());
+                    let (counted, problem) = reading(response.status(), response.body());
+                    let problem = problem.filter(|_| self.garbled.speaks(Instant::now()));
+                    problem.into_iter().for_each(|problem| warn!(status = %response.status(), problem));
                     // Guards against taking what is left of a broken answer for the next call's.
                     if counted.outcome != Outcome::Error && connection.is_usable() {
                         connection.idle_since = Instant::now();
@@ -124,25 +135,20 @@
     }
 }
 
-fn reading(status: StatusCode, body: &Bytes) -> Counted {
+/// How a call ended by its answer, and what is wrong with the answer.
+fn reading(status: StatusCode, body: &Bytes) -> (Counted, Option<&'static str>) {
     match status {
         StatusCode::OK => {
             let text = std::str::from_utf8(body).unwrap_or("").trim();
             match text.parse::<f64>() {
-                Ok(total) if total.is_finite() => Counted { outcome: Outcome::Ok, total },
-                _ => {
-                    warn!("the counter answered 200 without a number");
-                    Outcome::Error.into()
-                }
+                Ok(total) if total.is_finite() => (Counted { outcome: Outcome::Ok, total }, None),
+                _ => (Outcome::Error.into(), Some("the counter answered 200 without a number")),
             }
         }
-        StatusCode::SERVICE_UNAVAILABLE => Outcome::Full.into(),
+        StatusCode::SERVICE_UNAVAILABLE => (Outcome::Full.into(), None),
         // No such call: nothing was added.
-        StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND => Outcome::Moot.into(),
-        status => {
-            warn!(%status, "the counter answered what it should not");
-            Outcome::Error.into()
-        }
+        StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND => (Outcome::Moot.into(), None),
+        _ => (Outcome::Error.into(), Some("the counter answered what it should not")),
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,6 +16,7 @@
 pub mod ops;
 pub mod server;
 mod share;
+mod sparing;
 mod upload;
 
 use config::{Config, ConfigError, Services};
