Add a lab that plays a fleet of real processes with faults and judges them

Need: membership, shared state, zones and releases each have to be shown by several processes of the program with faults between them; nothing here could play that.

Stand-ins for discovery, counter, backends, clients and front; links with delay, loss, silent and one-way cuts and resets; processes killed, stopped, restarted and reloaded; a judge that works from the stand-ins' record; reports with plots.

--- /dev/null
+++ b/lab/src/backend.rs
@@ -0,0 +1,383 @@
+//! The stand-in of a backend: the model of its machine behind HTTP, with its faults.
+
+use crate::ground::Ground;
+use crate::link::lock;
+use crate::machine::{Job, Machine, Offer};
+use crate::plan::{Illness, Us};
+use crate::record::{Attempt, Fall, Outcome};
+use crate::relay::Stamp;
+use crate::serve::{answer, connection, half, Answer};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Request, StatusCode};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::DuplexStream;
+use tokio::sync::{oneshot, watch, Notify};
+
+const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
+const REPORT: HeaderName = HeaderName::from_static("x-load-report");
+/// The longest body of a request.
+const LONGEST: usize = 64 * 1024;
+/// Work of a repeat that is dropped, and of a probe, in microseconds.
+const SMALL_WORK: f64 = 250.0;
+
+struct State {
+    machine: Machine,
+    waiting: HashMap<Job, oneshot::Sender<()>>,
+    next: Job,
+    ills: Vec<Illness>,
+    connections: usize,
+    report: (Us, String),
+    draining: bool,
+}
+
+/// One backend, over all of its processes.
+pub struct Backend {
+    /// Its number.
+    pub number: usize,
+    /// The name in discovery's list.
+    pub id: String,
+    ground: Arc<Ground>,
+    speed: f64,
+    state: Mutex<State>,
+    changed: Notify,
+    /// Whether its process runs.
+    pub alive: watch::Sender<bool>,
+    /// When it last started; 0: long ago.
+    started: Mutex<Us>,
+}
+
+impl Backend {
+    /// A backend; `since`: it starts now, cold.
+    pub fn new(ground: Arc<Ground>, number: usize, speed: f64, since: Option<Us>) -> Arc<Backend> {
+        let spec = &ground.plan.scenario.backends;
+        let state = State {
+            machine: Machine::new(spec, speed, since),
+            waiting: HashMap::new(),
+            next: 0,
+            ills: Vec::new(),
+            connections: 0,
+            report: (0, String::new()),
+            draining: false,
+        };
+        let id = format!("s-{:08x}", ground.mark(number as u64, 7) as u32);
+        let backend = Arc::new(Backend {
+            number,
+            id,
+            ground,
+            speed,
+            state: Mutex::new(state),
+            changed: Notify::new(),
+            alive: watch::Sender::new(true),
+            started: Mutex::new(since.unwrap_or(0)),
+        });
+        tokio::spawn(backend.clone().work());
+        backend
+    }
+
+    /// When it last started; 0: long ago.
+    pub fn started(&self) -> Us {
+        *lock(&self.started)
+    }
+
+    /// Its process dies: connections are reset, work is lost.
+    pub fn die(&self) {
+        self.alive.send_replace(false);
+        let mut state = lock(&self.state);
+        let spec = &self.ground.plan.scenario.backends;
+        state.machine = Machine::new(spec, self.speed, None);
+        state.waiting.clear();
+        state.connections = 0;
+    }
+
+    /// Its process starts, cold.
+    pub fn start(&self) {
+        let now = self.ground.clock.now().max(1);
+        *lock(&self.started) = now;
+        let mut state = lock(&self.state);
+        state.machine = Machine::new(&self.ground.plan.scenario.backends, self.speed, Some(now));
+        state.machine.advance(now);
+        slow_down(&mut state, now);
+        state.draining = false;
+        drop(state);
+        self.alive.send_replace(true);
+    }
+
+    /// From now on it turns new work away and finishes what it has.
+    pub fn drain(&self) {
+        lock(&self.state).draining = true;
+    }
+
+    /// Falls ill, or gets well.
+    pub fn ill(&self, ill: Illness, on: bool) {
+        let now = self.ground.clock.now();
+        let mut state = lock(&self.state);
+        match on {
+            true => state.ills.push(ill),
+            false => {
+                if let Some(place) = state.ills.iter().position(|i| *i == ill) {
+                    state.ills.remove(place);
+                }
+            }
+        }
+        let done = slow_down(&mut state, now);
+        finish(&mut state, done);
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Ends jobs when their time has come.
+    async fn work(self: Arc<Backend>) {
+        loop {
+            let next = lock(&self.state).machine.next();
+            tokio::select! {
+                () = self.changed.notified() => {}
+                () = self.ground.clock.until(next.unwrap_or(0)), if next.is_some() => {}
+            }
+            let mut state = lock(&self.state);
+            let done = state.machine.advance(self.ground.clock.now());
+            finish(&mut state, done);
+        }
+    }
+
+    /// Takes a gateway's connection.
+    pub fn accept(self: &Arc<Backend>, stream: DuplexStream, stamp: Stamp, gateway: usize) {
+        let spec = &self.ground.plan.scenario.backends;
+        let most = (spec.connections_per_core as f64 * spec.cores) as usize;
+        let now = self.ground.clock.now();
+        {
+            let mut state = lock(&self.state);
+            if state.connections >= most {
+                return;
+            }
+            state.connections += 1;
+            let work = spec.handshake_us;
+            state.machine.burden(now, work);
+        }
+        self.changed.notify_one();
+        self.ground.note(|record| record.connections += 1);
+        let backend = self.clone();
+        let idle = Duration::from_secs_f64(spec.idle_s);
+        let mut alive = self.alive.subscribe();
+        tokio::spawn(async move {
+            let serving = connection(stream, idle, |request| {
+                let (backend, first) = (backend.clone(), stamp.last());
+                async move { backend.serve(request, gateway, first).await }
+            });
+            tokio::select! {
+                () = serving => {
+                    let mut state = lock(&backend.state);
+                    state.connections = state.connections.saturating_sub(1);
+                }
+                _ = alive.wait_for(|alive| !alive) => {}
+            }
+        });
+    }
+
+    async fn serve(&self, request: Request<Incoming>, gateway: usize, first: Us) -> Answer {
+        match request.uri().path() {
+            "/ping" => return answer(StatusCode::OK, ""),
+            "/_load" => {
+                lock(&self.state).machine.burden(self.ground.clock.now(), SMALL_WORK);
+                return answer(StatusCode::OK, self.report());
+            }
+            _ => {}
+        }
+        let id = id_of(request.headers());
+        let body = Limited::new(request.into_body(), LONGEST).collect().await;
+        let Ok(_) = body else { return answer(StatusCode::BAD_REQUEST, "") };
+        let came = self.ground.clock.now();
+        let arrival = id.and_then(|id| self.ground.arrival(id));
+        let mut open = Open {
+            ground: &self.ground,
+            backend: self,
+            job: None,
+            attempt: Some(Attempt {
+                id: id.filter(|_| arrival.is_some()).unwrap_or(0),
+                backend: self.number,
+                gateway,
+                first,
+                came,
+                ended: came,
+                outcome: Outcome::Abandoned,
+                ran: false,
+                mark: 0,
+                work_us: 0.0,
+            }),
+        };
+        let (Some(id), Some(arrival)) = (id, arrival) else {
+            let status = if id.is_some() { StatusCode::BAD_REQUEST } else { StatusCode::NOT_FOUND };
+            open.end(Outcome::Error);
+            return answer(status, "");
+        };
+        self.run(id, arrival, gateway, came, open).await
+    }
+
+    async fn run(&self, id: u64, arrival: usize, gateway: usize, now: Us, mut open: Open<'_>) -> Answer {
+        let arrival_spec = &self.ground.plan.arrivals[arrival];
+        let class = &self.ground.plan.scenario.classes[arrival_spec.class];
+        let window = (class.window_ms * 1000.0) as Us;
+        let keyed = self.ground.plan.keyed(arrival_spec.class);
+        let (offer, done, ills) = {
+            let mut state = lock(&self.state);
+            let ended = state.machine.advance(now);
+            finish(&mut state, ended);
+            if state.draining {
+                open.end(Outcome::TurnedAway);
+                return self.turned_away();
+            }
+            let repeated = keyed && self.ground.repeated(arrival, window, now);
+            let work = if repeated { SMALL_WORK } else { arrival_spec.work_us };
+            let knowing = self.ground.knows(gateway, self.number, self.started());
+            let job = state.next;
+            state.next += 1;
+            let offer = state.machine.offer(now, job, work, knowing);
+            let (tell, done) = oneshot::channel();
+            if offer == Offer::Taken {
+                state.waiting.insert(job, tell);
+                open.job = Some(job);
+                let ran = !repeated;
+                open.change(|attempt| (attempt.ran, attempt.work_us) = (ran, work));
+            }
+            let knowing = state.machine.knowing();
+            if offer == Offer::Fell {
+                let fall = Fall { backend: self.number, at: now, knowing };
+                self.ground.note(|record| record.falls.push(fall));
+            }
+            (offer, done, state.ills.clone())
+        };
+        match offer {
+            Offer::Fell => {
+                self.die();
+                open.end(Outcome::Died);
+                return std::future::pending().await;
+            }
+            Offer::Full => {
+                open.end(Outcome::TurnedAway);
+                return self.turned_away();
+            }
+            Offer::Taken => self.changed.notify_one(),
+        }
+        let died = done.await.is_err();
+        if died || ills.contains(&Illness::Silent) {
+            if died {
+                open.end(Outcome::Died);
+            }
+            // Until the gateway closes the connection, or the process's end does.
+            return std::future::pending().await;
+        }
+        open.job = None;
+        self.reply(id, &ills, open)
+    }
+
+    /// The answer of a job that is done.
+    fn reply(&self, id: u64, ills: &[Illness], mut open: Open<'_>) -> Answer {
+        let rate = |pick: fn(&Illness) -> Option<f64>| ills.iter().filter_map(pick).fold(0.0, f64::max);
+        let errors = rate(|ill| if let Illness::Errors(rate) = ill { Some(*rate) } else { None });
+        let halves = rate(|ill| if let Illness::Half(rate) = ill { Some(*rate) } else { None });
+        let errors = errors.max(self.ground.plan.scenario.backends.error_rate);
+        let mark = self.ground.mark(id, self.number);
+        // The same request fares alike when it comes again to this backend.
+        if self.ground.part(id, 1 << 20 | self.number as u64) < errors {
+            open.end(Outcome::Error);
+            return self.with_report(answer(StatusCode::INTERNAL_SERVER_ERROR, ""));
+        }
+        let body = Bytes::from(format!("lab {mark:016x} {:>180}\n", self.id));
+        if self.ground.part(id, 2 << 20 | self.number as u64) < halves {
+            open.end(Outcome::Half);
+            return half(body);
+        }
+        open.change(|attempt| attempt.mark = mark);
+        open.end(Outcome::Served);
+        self.with_report(answer(StatusCode::OK, body))
+    }
+
+    fn turned_away(&self) -> Answer {
+        let mut answer = answer(StatusCode::SERVICE_UNAVAILABLE, "");
+        answer.headers_mut().insert(REJECTED, HeaderValue::from_static("1"));
+        self.with_report(answer)
+    }
+
+    fn report(&self) -> String {
+        let now = self.ground.clock.now();
+        let mut state = lock(&self.state);
+        let fresh = (self.ground.plan.scenario.backends.report_ms * 1000.0) as Us;
+        if state.report.1.is_empty() || now >= state.report.0 + fresh {
+            let (held, busy) = (state.machine.held(), state.machine.busy());
+            state.report = (now, format!("TEXT concurrent={held}, load_share={busy:.3}"));
+        }
+        state.report.1.clone()
+    }
+
+    fn with_report(&self, mut answer: Answer) -> Answer {
+        if let Ok(report) = HeaderValue::from_str(&self.report()) {
+            answer.headers_mut().insert(REPORT, report);
+        }
+        answer
+    }
+}
+
+fn slow_down(state: &mut State, now: Us) -> Vec<Job> {
+    let done = state.machine.advance(now);
+    let slower = state.ills.iter().map(|ill| if let Illness::Slow(times) = ill { *times } else { 1.0 });
+    let slower = slower.product();
+    state.machine.slow(now, slower);
+    done
+}
+
+fn finish(state: &mut State, done: Vec<Job>) {
+    for tell in done.into_iter().filter_map(|job| state.waiting.remove(&job)) {
+        // Nobody waits for it if the attempt was given up.
+        let _ = tell.send(());
+    }
+}
+
+/// An attempt that has not ended; given up where it is dropped.
+struct Open<'a> {
+    ground: &'a Ground,
+    backend: &'a Backend,
+    job: Option<Job>,
+    attempt: Option<Attempt>,
+}
+
+impl Open<'_> {
+    fn change(&mut self, change: impl FnOnce(&mut Attempt)) {
+        if let Some(attempt) = &mut self.attempt {
+            change(attempt);
+        }
+    }
+    fn end(&mut self, outcome: Outcome) {
+        let ended = self.ground.clock.now();
+        if let Some(attempt) = self.attempt.take() {
+            self.ground.note(|record| record.attempts.push(Attempt { outcome, ended, ..attempt }));
+        }
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        let mut outcome = Outcome::Abandoned;
+        if let Some(job) = self.job.take() {
+            let mut state = lock(&self.backend.state);
+            let drops = self.ground.plan.scenario.backends.drops_cancelled;
+            if drops && state.machine.drop_waiting(job) {
+                state.waiting.remove(&job);
+                self.change(|attempt| attempt.ran = false);
+            }
+        }
+        if !*self.backend.alive.borrow() {
+            outcome = Outcome::Died;
+        }
+        self.end(outcome);
+    }
+}
+
+/// The id in the form in which clients send it.
+fn id_of(headers: &HeaderMap) -> Option<u64> {
+    let text = headers.get("x-call-id")?.to_str().ok()?;
+    (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok())?
+}
--- /dev/null
+++ b/lab/src/judge/figures.rs
@@ -0,0 +1,421 @@
+//! The figures of a run: worth served inside quotas, and what it cost.
+
+use crate::plan::{Plan, Us};
+use crate::record::{Attempt, End, Outcome, Record, Try};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+
+/// The figures of a run. Shares are of 1; times in milliseconds.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Figures {
+    /// Requests asked for, retries apart.
+    pub requests: usize,
+    /// Tries of clients.
+    pub tries: usize,
+    /// Worth answered in time inside quotas, over worth asked for inside quotas.
+    pub served: f64,
+    /// The same over the worst 10 s.
+    pub worst_10s: f64,
+    /// The same of the worst plan.
+    pub worst_plan: f64,
+    /// Tries refused, of all.
+    pub refused: f64,
+    /// Tries refused while half of the customer's quota or more was unused, of all.
+    pub refused_with_room: f64,
+    /// Units sent on beyond quotas, of all units sent on.
+    pub beyond: f64,
+    /// Attempts at backends a request.
+    pub attempts: f64,
+    /// Attempts that crossed zones, of all.
+    pub cross_zone: f64,
+    /// Calls to the counter a request.
+    pub counter_calls: f64,
+    /// New connections at backends a request.
+    pub connections: f64,
+    /// Processor time of gateways a try, in microseconds.
+    pub cpu_us: f64,
+    /// Answers 200: half came within this.
+    pub p50_ms: f64,
+    /// 99 in 100.
+    pub p99_ms: f64,
+    /// 999 in 1,000.
+    pub p999_ms: f64,
+    /// Cold backends that fell over, whoever is to blame.
+    pub cold_fallen: f64,
+    /// The most memory of a gateway, in millions of bytes.
+    pub memory_mb: f64,
+    /// The most descriptors of a gateway.
+    pub descriptors: usize,
+    /// How late the generator was with first tries: at the middle ...
+    pub late_p50_ms: f64,
+    /// ... and at the 99th percentile.
+    pub late_p99_ms: f64,
+    /// Served share by plan.
+    pub plans: Vec<Row>,
+    /// Served share by class.
+    pub classes: Vec<Row>,
+    /// Served share by zone of the gateway that served or was asked first.
+    pub zones: Vec<Row>,
+}
+
+/// A named share.
+#[derive(Debug, Clone, Serialize)]
+pub struct Row {
+    /// Of what.
+    pub name: String,
+    /// From 0 to 1.
+    pub served: f64,
+}
+
+/// Second by second.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Timeline {
+    /// Worth asked for inside quotas.
+    pub offered: Vec<f64>,
+    /// Of it, answered in time.
+    pub served: Vec<f64>,
+    /// Tries refused.
+    pub refused: Vec<f64>,
+    /// Tries that failed or had no answer.
+    pub failed: Vec<f64>,
+    /// Attempts.
+    pub attempts: Vec<f64>,
+    /// 99th percentile of the time of answers 200, in milliseconds.
+    pub p99_ms: Vec<f64>,
+    /// Served share by zone.
+    pub zones: Vec<(String, Vec<f64>)>,
+    /// Served share by the gateway asked first; below 0: nothing was asked.
+    pub gateways: Vec<Vec<f64>>,
+}
+
+impl Figures {
+    /// The figure of a name that `[expect]` may bound.
+    pub fn get(&self, name: &str) -> Option<f64> {
+        self.named().into_iter().find(|(n, _)| *n == name).map(|(_, value)| value)
+    }
+    /// The figures that can be compared and bounded.
+    pub fn named(&self) -> Vec<(&'static str, f64)> {
+        vec![
+            ("served", self.served),
+            ("worst_10s", self.worst_10s),
+            ("worst_plan", self.worst_plan),
+            ("refused", self.refused),
+            ("refused_with_room", self.refused_with_room),
+            ("beyond", self.beyond),
+            ("attempts", self.attempts),
+            ("cross_zone", self.cross_zone),
+            ("counter_calls", self.counter_calls),
+            ("connections", self.connections),
+            ("cpu_us", self.cpu_us),
+            ("p50_ms", self.p50_ms),
+            ("p99_ms", self.p99_ms),
+            ("p999_ms", self.p999_ms),
+            ("cold_fallen", self.cold_fallen),
+        ]
+    }
+}
+
+/// A store of units: full at first, filling at a rate, holding a burst at most.
+struct Store {
+    units: f64,
+    last: Us,
+}
+
+impl Store {
+    fn at(&mut self, now: Us, rate: f64, burst: f64) -> f64 {
+        self.units = (self.units + rate * now.saturating_sub(self.last) as f64 / 1e6).min(burst);
+        self.last = self.last.max(now);
+        self.units
+    }
+}
+
+/// Stores of all customers, by rate and burst of their plans.
+struct Stores<'a> {
+    plan: &'a Plan,
+    all: HashMap<usize, Store>,
+}
+
+impl<'a> Stores<'a> {
+    fn new(plan: &'a Plan) -> Stores<'a> {
+        Stores { plan, all: HashMap::new() }
+    }
+    /// What a customer's store holds, and what it can.
+    fn level(&mut self, customer: usize, now: Us) -> (f64, f64) {
+        let spec = &self.plan.scenario.plans[self.plan.customers[customer].plan];
+        let burst = self.plan.burst(spec);
+        let store = self.all.entry(customer).or_insert(Store { units: burst, last: 0 });
+        (store.at(now, spec.rate, burst), burst)
+    }
+    /// Takes units if they are there.
+    fn take(&mut self, customer: usize, now: Us, units: f64) -> bool {
+        let inside = self.level(customer, now).0 >= units;
+        if inside {
+            self.all.get_mut(&customer).into_iter().for_each(|store| store.units -= units);
+        }
+        inside
+    }
+}
+
+/// What became of the tries at the quotas.
+struct Quotas {
+    /// By id: sent on inside the quota.
+    inside: HashMap<u64, bool>,
+    refused: usize,
+    refused_with_room: usize,
+    beyond_units: f64,
+    sent_units: f64,
+}
+
+fn quotas(plan: &Plan, record: &Record, first: &HashMap<u64, Us>, from: Us) -> Quotas {
+    // In the order of their times: sent on with the first attempt, or refused.
+    let mut events: Vec<(Us, &Try, bool)> = Vec::new();
+    for one in &record.tries {
+        match first.get(&one.id) {
+            Some(at) => events.push((*at, one, true)),
+            None if matches!(one.end, End::Answer { status: 429 | 503, .. }) => {
+                events.push((one.ended, one, false))
+            }
+            None => {}
+        }
+    }
+    events.sort_by_key(|(at, one, _)| (*at, one.id));
+    let mut stores = Stores::new(plan);
+    let mut all = Quotas {
+        inside: HashMap::new(),
+        refused: 0,
+        refused_with_room: 0,
+        beyond_units: 0.0,
+        sent_units: 0.0,
+    };
+    for (at, one, sent) in events {
+        let arrival = &plan.arrivals[one.arrival];
+        let units = f64::from(arrival.units);
+        if sent {
+            let inside = stores.take(arrival.customer, at, units);
+            all.inside.insert(one.id, inside);
+            if at >= from {
+                all.sent_units += units;
+                all.beyond_units += if inside { 0.0 } else { units };
+            }
+        }
+        let refused = matches!(one.end, End::Answer { status: 429 | 503, .. });
+        if refused && at >= from {
+            all.refused += 1;
+            let (level, burst) = stores.level(arrival.customer, at);
+            all.refused_with_room += usize::from(!sent && level >= burst / 2.0);
+        }
+    }
+    all
+}
+
+/// What an arrival was worth and earned.
+struct Worth {
+    offered: f64,
+    earned: f64,
+}
+
+fn worths(plan: &Plan, record: &Record, inside: &HashMap<u64, bool>) -> Vec<Worth> {
+    let mut stores = Stores::new(plan);
+    let mut all: Vec<Worth> = Vec::with_capacity(plan.arrivals.len());
+    let value = |arrival: usize| {
+        let spec = &plan.arrivals[arrival];
+        let price = plan.scenario.plans[plan.customers[spec.customer].plan].price;
+        plan.scenario.classes[spec.class].worth * price * f64::from(spec.units)
+    };
+    for (number, arrival) in plan.arrivals.iter().enumerate() {
+        let within = stores.take(arrival.customer, arrival.at, f64::from(arrival.units));
+        all.push(Worth { offered: if within { value(number) } else { 0.0 }, earned: 0.0 });
+    }
+    for one in &record.tries {
+        let End::Answer { status: 200, mark: Some(_) } = one.end else { continue };
+        if !inside.get(&one.id).copied().unwrap_or(false) {
+            continue;
+        }
+        let class = &plan.scenario.classes[plan.arrivals[one.arrival].class];
+        let took = one.ended.saturating_sub(plan.arrivals[one.arrival].at) as f64 / 1000.0;
+        let part = match () {
+            () if took <= class.aim_ms => 1.0,
+            () if one.ended <= one.until => class.late_worth,
+            () => 0.0,
+        };
+        let worth = &mut all[one.arrival];
+        worth.earned = worth.earned.max(part * value(one.arrival));
+    }
+    all
+}
+
+fn share(earned: f64, offered: f64) -> f64 {
+    if offered > 0.0 {
+        (earned / offered).min(1.0)
+    } else {
+        1.0
+    }
+}
+
+/// Sums by a key, as named shares.
+fn rows(worths: &[Worth], names: &[String], key: impl Fn(usize) -> Option<usize>) -> Vec<Row> {
+    let mut sums = vec![(0.0, 0.0); names.len()];
+    for (number, worth) in worths.iter().enumerate() {
+        if let Some(sum) = key(number).and_then(|key| sums.get_mut(key)) {
+            sum.0 += worth.earned;
+            sum.1 += worth.offered;
+        }
+    }
+    let row = |(name, (earned, offered)): (&String, (f64, f64))| Row {
+        name: name.clone(),
+        served: share(earned, offered),
+    };
+    names.iter().zip(sums).map(row).collect()
+}
+
+pub(super) fn measure(plan: &Plan, record: &Record) -> (Figures, Timeline) {
+    let from = crate::plan::us(plan.scenario.warm_up_s);
+    let mut first: HashMap<u64, Us> = HashMap::new();
+    for attempt in &record.attempts {
+        let at = first.entry(attempt.id).or_insert(attempt.first);
+        *at = (*at).min(attempt.first);
+    }
+    let quotas = quotas(plan, record, &first, from);
+    let worths = worths(plan, record, &quotas.inside);
+    let counted = |number: usize| plan.arrivals[number].at >= from;
+    let sum = |pick: fn(&Worth) -> f64| {
+        worths.iter().enumerate().filter(|(n, _)| counted(*n)).map(|(_, w)| pick(w)).sum::<f64>()
+    };
+    let timeline = timeline(plan, record, &worths);
+    let tries: Vec<&Try> = record.tries.iter().filter(|t| t.due >= from).collect();
+    let attempts: Vec<&Attempt> = record.attempts.iter().filter(|a| a.first >= from).collect();
+    let requests = plan.arrivals.iter().filter(|a| a.at >= from).count();
+    let each = |count: usize| count as f64 / requests.max(1) as f64;
+    let zone = |gateway: usize| gateway % plan.scenario.zones();
+    let crossed =
+        attempts.iter().filter(|a| plan.backends.get(a.backend).is_some_and(|b| b.zone != zone(a.gateway)));
+    let names = |list: Vec<&String>| list.into_iter().cloned().collect::<Vec<String>>();
+    let plans = rows(&worths, &names(plan.scenario.plans.iter().map(|p| &p.name).collect()), |n| {
+        counted(n).then(|| plan.customers[plan.arrivals[n].customer].plan)
+    });
+    let times = histogram(
+        tries.iter().filter(|t| matches!(t.end, End::Answer { status: 200, .. })).map(|t| t.ended - t.due),
+    );
+    let late = histogram(tries.iter().filter(|t| t.nth == 0).map(|t| t.began.saturating_sub(t.due)));
+    let at = |h: &Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1000.0;
+    let figures = Figures {
+        requests,
+        tries: tries.len(),
+        served: share(sum(|w| w.earned), sum(|w| w.offered)),
+        worst_10s: worst(&timeline, from),
+        worst_plan: plans.iter().map(|row| row.served).fold(1.0, f64::min),
+        refused: quotas.refused as f64 / tries.len().max(1) as f64,
+        refused_with_room: quotas.refused_with_room as f64 / tries.len().max(1) as f64,
+        beyond: quotas.beyond_units / quotas.sent_units.max(1.0),
+        attempts: each(attempts.len()),
+        cross_zone: crossed.count() as f64 / attempts.len().max(1) as f64,
+        counter_calls: each(record.calls.iter().filter(|c| c.at >= from).count()),
+        connections: record.connections as f64 / plan.arrivals.len().max(1) as f64,
+        cpu_us: cpu_us(record) as f64 / record.tries.len().max(1) as f64,
+        p50_ms: at(&times, 0.5),
+        p99_ms: at(&times, 0.99),
+        p999_ms: at(&times, 0.999),
+        cold_fallen: record.falls.len() as f64,
+        memory_mb: record.usage.iter().map(|u| u.memory).max().unwrap_or(0) as f64 / 1e6,
+        descriptors: record.usage.iter().map(|u| u.descriptors).max().unwrap_or(0),
+        late_p50_ms: at(&late, 0.5),
+        late_p99_ms: at(&late, 0.99),
+        classes: rows(&worths, &names(plan.scenario.classes.iter().map(|c| &c.name).collect()), |n| {
+            counted(n).then(|| plan.arrivals[n].class)
+        }),
+        zones: rows(&worths, &plan.scenario.net.zones, |n| {
+            counted(n).then(|| zone(plan.arrivals[n].gateways[0]))
+        }),
+        plans,
+    };
+    (figures, timeline)
+}
+
+/// The longest time that a histogram tells apart: an hour.
+const LONGEST_US: u64 = 3_600_000_000;
+
+fn histogram(values: impl Iterator<Item = u64>) -> Histogram<u64> {
+    // Bounds and digits that the library takes.
+    let mut histogram =
+        Histogram::new_with_bounds(1, LONGEST_US, 3).unwrap_or_else(|_| unreachable!("sound bounds"));
+    values.for_each(|value| histogram.saturating_record(value.min(LONGEST_US)));
+    histogram
+}
+
+/// Processor time of all processes, each at its last sample.
+fn cpu_us(record: &Record) -> u64 {
+    let mut last: BTreeMap<(usize, usize), u64> = BTreeMap::new();
+    for usage in &record.usage {
+        last.insert((usage.gateway, usage.life), usage.cpu_us);
+    }
+    last.values().sum()
+}
+
+/// The least served share over 10 s, or over the whole of a shorter run.
+fn worst(timeline: &Timeline, from: Us) -> f64 {
+    let from = (from / 1_000_000) as usize;
+    let seconds = timeline.offered.len();
+    let width = 10.min(seconds.saturating_sub(from)).max(1);
+    let over = |at: usize| {
+        let sum = |values: &[f64]| values.iter().skip(at).take(width).sum::<f64>();
+        share(sum(&timeline.served), sum(&timeline.offered))
+    };
+    (from..=seconds.saturating_sub(width).max(from)).map(over).fold(1.0, f64::min)
+}
+
+fn timeline(plan: &Plan, record: &Record, worths: &[Worth]) -> Timeline {
+    let seconds = (plan.scenario.length_s.ceil() as usize).max(1);
+    let zones = &plan.scenario.net.zones;
+    let flat = || vec![0.0; seconds];
+    let second = |at: Us| ((at / 1_000_000) as usize).min(seconds - 1);
+    let mut all = Timeline {
+        offered: flat(),
+        served: flat(),
+        refused: flat(),
+        failed: flat(),
+        attempts: flat(),
+        p99_ms: flat(),
+        zones: Vec::new(),
+        gateways: vec![vec![-1.0; seconds]; plan.scenario.gateways.count],
+    };
+    let mut by_gateway = vec![vec![(0.0, 0.0); seconds]; plan.scenario.gateways.count];
+    let mut by_zone = vec![vec![(0.0, 0.0); seconds]; zones.len()];
+    for (arrival, worth) in plan.arrivals.iter().zip(worths) {
+        let at = second(arrival.at);
+        all.offered[at] += worth.offered;
+        all.served[at] += worth.earned;
+        let zone = &mut by_zone[arrival.gateways[0] % zones.len()][at];
+        zone.0 += worth.earned;
+        zone.1 += worth.offered;
+        let gateway = &mut by_gateway[arrival.gateways[0]][at];
+        gateway.0 += worth.earned;
+        gateway.1 += worth.offered;
+    }
+    let of = |(name, sums): (&String, Vec<(f64, f64)>)| {
+        (name.clone(), sums.into_iter().map(|(earned, offered)| share(earned, offered)).collect())
+    };
+    all.zones = zones.iter().zip(by_zone).map(of).collect();
+    let mut times: Vec<Vec<u64>> = vec![Vec::new(); seconds];
+    for one in &record.tries {
+        let at = second(one.due);
+        match one.end {
+            End::Answer { status: 200, .. } => times[at].push(one.ended - one.due),
+            End::Answer { status: 429 | 503, .. } => all.refused[at] += 1.0,
+            _ => all.failed[at] += 1.0,
+        }
+    }
+    for (at, times) in times.into_iter().enumerate() {
+        all.p99_ms[at] = histogram(times.into_iter()).value_at_quantile(0.99) as f64 / 1000.0;
+    }
+    for (gateway, sums) in by_gateway.into_iter().enumerate() {
+        for (at, (earned, offered)) in sums.into_iter().enumerate().filter(|(_, (_, offered))| *offered > 0.0)
+        {
+            all.gateways[gateway][at] = share(earned, offered);
+        }
+    }
+    for attempt in record.attempts.iter().filter(|a| a.outcome != Outcome::Open) {
+        all.attempts[second(attempt.first)] += 1.0;
+    }
+    all
+}
--- /dev/null
+++ b/lab/src/play.rs
@@ -0,0 +1,81 @@
+//! One run from a scenario to its verdict, with a progress bar on a terminal.
+
+use crate::judge::{judge, Verdict};
+use crate::plan::{Band, Plan};
+use crate::scenario::Scenario;
+use crate::world::{Means, SetUpError, World};
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+use serde::Serialize;
+
+/// What a run came to, with what it was played with.
+#[derive(Debug, Clone, Serialize)]
+pub struct Played {
+    /// The scenario's name.
+    pub scenario: String,
+    /// What the scenario shows.
+    pub about: String,
+    /// The seed.
+    pub seed: u64,
+    /// SHA-256 of the plan of arrivals and faults.
+    pub digest: String,
+    /// How many gateways, backends and customers there were.
+    pub sizes: [usize; 3],
+    /// How long requests arrived, in seconds.
+    pub length_s: f64,
+    /// The faults, resolved.
+    pub faults: Vec<Band>,
+    /// The judgement.
+    pub verdict: Verdict,
+}
+
+/// A run that did not come to its end.
+#[derive(Debug, thiserror::Error)]
+pub enum PlayError {
+    /// It could not be set up.
+    #[error("{0}")]
+    SetUp(#[from] SetUpError),
+    /// Somebody stopped it.
+    #[error("stopped; no gateway is left behind")]
+    Stopped,
+}
+
+/// Plays a scenario with a seed. Ctrl-C ends the run and all of its processes.
+pub async fn play(scenario: &Scenario, seed: u64, means: &Means) -> Result<Played, PlayError> {
+    let plan = Plan::draw(scenario, seed);
+    let bar = bar(&plan);
+    let world = World::start(plan.clone(), means).await?;
+    let record = tokio::select! {
+        record = world.play(|sent| bar.set_position(sent as u64)) => record,
+        _ = tokio::signal::ctrl_c() => {
+            bar.finish_and_clear();
+            world.end().await;
+            return Err(PlayError::Stopped);
+        }
+    };
+    bar.finish_and_clear();
+    let verdict = judge(&plan, &record);
+    Ok(Played {
+        scenario: scenario.name.clone(),
+        about: scenario.about.clone(),
+        seed,
+        digest: plan.digest,
+        sizes: [scenario.gateways.count, scenario.backends.count, plan.customers.len()],
+        length_s: scenario.length_s,
+        faults: plan.bands,
+        verdict,
+    })
+}
+
+fn bar(plan: &Plan) -> ProgressBar {
+    // Drawn on a terminal only.
+    let bar = ProgressBar::with_draw_target(
+        Some(plan.arrivals.len() as u64),
+        ProgressDrawTarget::stderr_with_hz(5),
+    );
+    let style = ProgressStyle::with_template("{msg} [{elapsed}] {wide_bar} {pos}/{len} requests");
+    if let Ok(style) = style {
+        bar.set_style(style);
+    }
+    bar.set_message(format!("{} seed {}", plan.scenario.name, plan.seed));
+    bar
+}
--- /dev/null
+++ b/lab/src/record.rs
@@ -0,0 +1,217 @@
+//! What the stand-ins saw of a run: the only thing that the judge goes by.
+
+use crate::plan::Us;
+
+/// How one try of a client ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum End {
+    /// A whole answer: its status, and the mark in the body, if it has the form of a backend's body.
+    #[allow(missing_docs)]
+    Answer { status: u16, mark: Option<u64> },
+    /// No answer in the client's time; it closed the connection.
+    GaveUp,
+    /// The connection was refused, or never came up.
+    Unreachable,
+    /// The connection ended after the request was written and before a whole answer.
+    Broken,
+    /// The run ended first.
+    Open,
+}
+
+/// One try: a request as a gateway saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Try {
+    /// Its number in the plan's arrivals.
+    pub arrival: usize,
+    /// 0 for the first try.
+    pub nth: u32,
+    /// The id on the wire.
+    pub id: u64,
+    /// The gateway that it went to.
+    pub gateway: usize,
+    /// The process of the gateway, counted from 0 over its restarts.
+    pub life: usize,
+    /// When its client wanted to send it.
+    pub due: Us,
+    /// When its client stops waiting, as the request says.
+    pub until: Us,
+    /// When its client began to send it.
+    pub began: Us,
+    /// When the request's last byte was written.
+    pub written: Option<Us>,
+    /// When it ended.
+    pub ended: Us,
+    /// How.
+    pub end: End,
+    /// The gateway wrote more than one answer.
+    pub twice: bool,
+}
+
+/// How an attempt ended at its backend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole 200 was given out.
+    Served,
+    /// A 500.
+    Error,
+    /// Turned away; it never ran.
+    TurnedAway,
+    /// An answer that broke off.
+    Half,
+    /// The gateway gave it up, or its connection broke.
+    Abandoned,
+    /// The backend died with it.
+    Died,
+    /// The run ended first.
+    Open,
+}
+
+/// A request as it came to a backend.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Attempt {
+    /// The id on the wire; 0 where it is none that a client sent.
+    pub id: u64,
+    /// The backend.
+    pub backend: usize,
+    /// The gateway that sent it.
+    pub gateway: usize,
+    /// When its first byte was read.
+    pub first: Us,
+    /// When its last byte had come.
+    pub came: Us,
+    /// When it ended.
+    pub ended: Us,
+    /// How.
+    pub outcome: Outcome,
+    /// It was begun.
+    pub ran: bool,
+    /// The mark in its answer's body.
+    pub mark: u64,
+    /// Work that it asked for, of a core of speed 1.
+    pub work_us: f64,
+}
+
+/// Discovery told a gateway something.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Told {
+    /// The gateway, and its process.
+    pub gateway: usize,
+    /// Counted from 0 over its restarts.
+    pub life: usize,
+    /// The backend.
+    pub backend: usize,
+    /// Whether it takes work, as told.
+    pub ready: bool,
+    /// When it was told, or counts as told.
+    pub at: Us,
+}
+
+/// A cold backend was sent more than it bears.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fall {
+    /// The backend.
+    pub backend: usize,
+    /// When.
+    pub at: Us,
+    /// The part of the load that came from gateways that knew of its start.
+    pub knowing: f64,
+}
+
+/// A call to the counter.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Call {
+    /// Who called.
+    pub gateway: usize,
+    /// When it came.
+    pub at: Us,
+    /// The status of its answer; 0: none.
+    pub status: u16,
+}
+
+/// What became of a gateway's process.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Life {
+    /// It was started.
+    Started,
+    /// Its first `/_health` with 200.
+    Ready,
+    /// The lab killed it.
+    Killed,
+    /// The lab sent SIGTERM.
+    Terminated,
+    /// The lab stopped it.
+    Paused,
+    /// The lab let it go on.
+    Continued,
+    #[allow(missing_docs)]
+    /// It ended; `asked`: after the lab's signal, and with success where that was SIGTERM.
+    Ended { asked: bool, how: String },
+}
+
+/// An event in the life of a gateway.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LifeEvent {
+    /// The gateway.
+    pub gateway: usize,
+    /// Counted from 0 over its restarts.
+    pub life: usize,
+    /// When.
+    pub at: Us,
+    /// What.
+    pub what: Life,
+}
+
+/// What a process used, sampled.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Usage {
+    /// The gateway.
+    pub gateway: usize,
+    /// Counted from 0 over its restarts.
+    pub life: usize,
+    /// When.
+    pub at: Us,
+    /// Processor time of this process so far.
+    pub cpu_us: u64,
+    /// Resident memory in bytes.
+    pub memory: u64,
+    /// Open descriptors.
+    pub descriptors: usize,
+}
+
+/// Who was cut off from the clients, and when: nothing is owed there.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Excuse {
+    /// The gateway.
+    pub gateway: usize,
+    /// From.
+    pub from: Us,
+    /// To.
+    pub to: Us,
+}
+
+/// All of it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Record {
+    /// Tries of clients.
+    pub tries: Vec<Try>,
+    /// Attempts at backends.
+    pub attempts: Vec<Attempt>,
+    /// What discovery told.
+    pub told: Vec<Told>,
+    /// Cold backends pushed over.
+    pub falls: Vec<Fall>,
+    /// Calls to the counter.
+    pub calls: Vec<Call>,
+    /// Lives of the gateways' processes.
+    pub lives: Vec<LifeEvent>,
+    /// What they used.
+    pub usage: Vec<Usage>,
+    /// Clients' ways that were cut or broken on purpose.
+    pub excuses: Vec<Excuse>,
+    /// Connections that gateways opened to backends: backend by gateway.
+    pub connections: usize,
+    /// Times that the lab itself lacked a port or a descriptor.
+    pub starved: usize,
+    /// When the last arrival's settling was over.
+    pub ended: Us,
+}
--- /dev/null
+++ b/lab/src/report/mod.rs
@@ -0,0 +1,102 @@
+//! A run as one page of HTML that holds all it shows: plots as SVG, tables, the verdict.
+
+mod plots;
+
+use crate::judge::Word;
+use crate::play::Played;
+use crate::table::number;
+use std::fmt::Write;
+use std::io;
+use std::path::{Path, PathBuf};
+
+const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;max-width:960px;margin:2em auto;padding:0 1em;color:#222}
+h1{font-size:1.5em;margin-bottom:.2em}h2{font-size:1.1em;margin:1.6em 0 .3em}p{margin:.4em 0}
+table{border-collapse:collapse;font-variant-numeric:tabular-nums}td,th{padding:.15em .9em .15em 0;text-align:left;vertical-align:top}
+td.n{text-align:right}.cols{display:flex;flex-wrap:wrap;gap:0 3em}svg{max-width:100%;height:auto}
+.held{color:#0a6b2d}.failed{color:#b00020}.not-valid{color:#8a5a00}.small{color:#666;font-size:.87em}
+ul{margin:.2em 0;padding-left:1.3em}";
+
+/// Writes the page into a folder and returns its path.
+pub fn write(played: &Played, folder: &Path) -> io::Result<PathBuf> {
+    std::fs::create_dir_all(folder)?;
+    let path = folder.join(format!("{}-{}.html", played.scenario, played.seed));
+    std::fs::write(&path, page(played).map_err(io::Error::other)?)?;
+    Ok(path)
+}
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+}
+
+/// The page's text.
+pub fn page(played: &Played) -> Result<String, plots::PlotError> {
+    let mut page = String::new();
+    // Writing to a string fails never.
+    let _ = head(&mut page, played);
+    for (title, plot) in plots::all(played)? {
+        let _ = writeln!(page, "<h2>{}</h2>\n{plot}", escaped(&title));
+    }
+    let _ = tables(&mut page, played);
+    page.push_str("</body></html>\n");
+    Ok(page)
+}
+
+fn head(page: &mut String, played: &Played) -> std::fmt::Result {
+    let verdict = &played.verdict;
+    let (class, word) = match verdict.word {
+        Word::Held => ("held", "held"),
+        Word::Failed => ("failed", "failed"),
+        Word::NotValid => ("not-valid", "not valid"),
+    };
+    let name = escaped(&played.scenario);
+    let [gateways, backends, customers] = played.sizes;
+    write!(
+        page,
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>{name}, seed {}</title>\
+         <style>{STYLE}</style></head><body>\n<h1>{name}: <span class=\"{class}\">{word}</span></h1>\n<p>{}</p>\n\
+         <p class=\"small\">seed {}, {gateways} gateways, {backends} backends, {customers} customers, {} s, plan {}</p>\n",
+        played.seed,
+        escaped(played.about.trim()),
+        played.seed,
+        played.length_s,
+        &played.digest,
+    )?;
+    let list = |page: &mut String, title: &str, items: Vec<String>| -> std::fmt::Result {
+        if items.is_empty() {
+            return Ok(());
+        }
+        let items: Vec<String> = items.iter().map(|item| format!("<li>{}</li>", escaped(item))).collect();
+        writeln!(page, "<p class=\"{class}\"><b>{title}</b></p><ul>{}</ul>", items.concat())
+    };
+    let broken =
+        |b: &crate::judge::Broken| format!("{:?}, {} times: {}", b.rule, b.count, b.cases.join("; "));
+    list(page, "Rules broken", verdict.broken.iter().map(broken).collect())?;
+    list(page, "Expected otherwise", verdict.missed.clone())?;
+    list(page, "Not valid", verdict.doubts.clone())
+}
+
+fn tables(page: &mut String, played: &Played) -> std::fmt::Result {
+    let figures = &played.verdict.figures;
+    let row = |name: &str, value: &str| {
+        format!("<tr><td>{}</td><td class=\"n\">{}</td></tr>", escaped(name), escaped(value))
+    };
+    let mut rows: Vec<String> =
+        figures.named().iter().map(|(name, value)| row(name, &number(*value))).collect();
+    rows.push(row("memory_mb, most", &number(figures.memory_mb)));
+    rows.push(row("descriptors, most", &figures.descriptors.to_string()));
+    let late = format!("{:.2}, {:.2} ms", figures.late_p50_ms, figures.late_p99_ms);
+    rows.push(row("generator late, p50, p99", &late));
+    write!(page, "<h2>Figures</h2>\n<div class=\"cols\"><table>{}</table>\n<table>", rows.concat())?;
+    for (what, rows) in [("plan", &figures.plans), ("class", &figures.classes), ("zone", &figures.zones)] {
+        write!(page, "<tr><th colspan=\"2\">served by {what}</th></tr>")?;
+        for one in rows {
+            write!(page, "{}", row(&one.name, &format!("{:.3}", one.served)))?;
+        }
+    }
+    let faults: Vec<String> = played
+        .faults
+        .iter()
+        .map(|band| row(&band.name, &format!("{:.1} to {:.1} s", band.from_s, band.to_s)))
+        .collect();
+    writeln!(page, "</table>\n<table><tr><th colspan=\"2\">faults</th></tr>{}</table></div>", faults.concat())
+}
--- /dev/null
+++ b/lab/src/up.rs
@@ -0,0 +1,50 @@
+//! A small fleet that stays until Ctrl-C, to try by hand.
+
+use crate::cli::Failure;
+use crate::link::lock;
+use crate::plan::Plan;
+use crate::play::PlayError;
+use crate::scenario::Scenario;
+use crate::world::{Means, SetUpError, World};
+use std::path::PathBuf;
+
+/// Seconds that the stand-ins' clock counts for: far longer than anybody stays.
+const LONG: &str = "length_s = 3600\nload.per_s = 0.1\n";
+
+/// Starts it, says where everything is, and stays.
+pub(crate) async fn up(gateways: usize, backends: usize, means: &Means) -> Result<u8, Failure> {
+    let text = format!(
+        "name = \"up\"\nabout = \"A fleet to try by hand.\"\n{LONG}gateways.count = {gateways}\n\
+         backends.count = {backends}\nload.spread = [1, {gateways}]\n"
+    );
+    let scenario = Scenario::parse(PathBuf::from("up"), &text, &[]).map_err(Failure::of_use)?;
+    let mut plan = Plan::draw(&scenario, 1);
+    // Whoever stays calls by hand: any id in the right form stands for a request of the plan.
+    plan.open_ids = true;
+    let class = plan.scenario.classes[0].name.clone();
+    let customer = plan.customers[0].number;
+    let tariff = plan.scenario.plans[plan.customers[0].plan].name.clone();
+    let world = World::start(plan, means).await.map_err(|e: SetUpError| Failure::from(PlayError::from(e)))?;
+    println!("gateway  clients                operators");
+    for gateway in &world.gateways {
+        let place = lock(&gateway.place);
+        println!("g{:<7} {:<22} {}", gateway.number, place.listen.to_string(), place.ops);
+    }
+    let (listen, ops) = {
+        let place = lock(&world.gateways[0].place);
+        (place.listen, place.ops)
+    };
+    println!("logs     {}", means.folder.display());
+    println!("\nA request, and the figures:\n");
+    println!(
+        "curl -i -H \"X-Call-Id: $(od -An -N8 -tx8 /dev/urandom | tr -d ' ')\" -H 'X-Call-Class: {class}' \
+         -H 'X-Plan: {tariff}' -H 'X-Budget-Ms: 1500' -H 'X-Quota: units=1,spread=1,first=0' \
+         'http://{listen}/api?customer={customer:016x}'"
+    );
+    println!("curl http://{ops}/stats\n\nCtrl-C ends it all.");
+    // Without signals there is no way to wait for one: end at once.
+    let _ = tokio::signal::ctrl_c().await;
+    world.end().await;
+    println!("\nall ended");
+    Ok(0)
+}
