--- a/lab/src/backend.rs
+++ b/lab/src/backend.rs
@@ -226,16 +226,15 @@
             let mut state = lock(&self.state);
             let ended = state.machine.advance(now);
             finish(&mut state, ended);
-            if state.draining {
-                open.end(Outcome::TurnedAway);
-                return self.turned_away();
-            }
             let repeated = keyed && self.ground.repeated(arrival, window, now);
             let work = if repeated { SMALL_WORK } else { arrival_spec.work_us };
             let knowing = self.ground.knows(gateway, self.number, self.started());
             let job = state.next;
             state.next += 1;
-            let offer = state.machine.offer(now, job, work, knowing);
+            let offer = match state.draining {
+                true => Offer::Full,
+                false => state.machine.offer(now, job, work, knowing),
+            };
             let (tell, done) = oneshot::channel();
             if offer == Offer::Taken {
                 state.waiting.insert(job, tell);
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -64,6 +64,10 @@
     /// Replace a value of the scenario, as in `gateways.count=40`; may be given again.
     #[arg(long, value_name = "KEY=VALUE", value_parser = setting)]
     set: Vec<Setting>,
+    /// Judge by the rules alone: neither expectations nor a late generator change the exit code. For machines that
+    /// do other work as well.
+    #[arg(long)]
+    rules_only: bool,
     /// Write the result as JSON.
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
@@ -289,5 +293,5 @@
         let path = report::write(&played, folder).map_err(|e| written(folder, e.to_string()))?;
         println!("report: {}", path.display());
     }
-    Ok(code(&played))
+    Ok(if run.rules_only { u8::from(!played.verdict.broken.is_empty()) } else { code(&played) })
 }
--- a/lab/src/gateway.rs
+++ b/lab/src/gateway.rs
@@ -225,6 +225,11 @@
         let _ = timeout(READY_TIME, self.running.subscribe().wait_for(|running| !running)).await;
     }
 
+    /// SIGKILL, without waiting.
+    pub fn end_now(&self) {
+        self.signal(Signal::SIGKILL);
+    }
+
     /// SIGTERM, and SIGKILL for a process that goes on past its time.
     pub async fn terminate(&self) {
         if self.signal(Signal::SIGTERM) {
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -6,6 +6,12 @@
 use crate::world::{Means, SetUpError, World};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use serde::Serialize;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A run that goes so far past its time is ended.
+const BEYOND: Duration = Duration::from_secs(30);
 
 /// What a run came to, with what it was played with.
 #[derive(Debug, Clone, Serialize)]
@@ -44,6 +50,7 @@
     let plan = Plan::draw(scenario, seed);
     let bar = bar(&plan);
     let world = World::start(plan.clone(), means).await?;
+    let _watchdog = Watchdog::over(&world, scenario);
     let record = tokio::select! {
         record = world.play(|sent| bar.set_position(sent as u64)) => record,
         _ = tokio::signal::ctrl_c() => {
@@ -66,6 +73,39 @@
     })
 }
 
+/// Ends the whole program, gateways first, when a run goes far past its time: no run may stand for ever.
+struct Watchdog(Arc<AtomicBool>);
+
+impl Watchdog {
+    fn over(world: &World, scenario: &Scenario) -> Watchdog {
+        let longest = scenario.classes.iter().map(|c| c.deadline_ms / 1000.0).fold(0.0, f64::max);
+        let until = Instant::now() + Duration::from_secs_f64(scenario.length_s + longest) + BEYOND;
+        let (off, gateways) = (Arc::new(AtomicBool::new(false)), world.gateways.clone());
+        let watched = off.clone();
+        // A thread of its own: what it guards against may have stopped all others.
+        std::thread::spawn(move || {
+            while !watched.load(Ordering::Relaxed) {
+                if Instant::now() > until {
+                    gateways.iter().for_each(|gateway| gateway.end_now());
+                    eprintln!(
+                        "starlinghill-lab: the run went {} s past its time and was ended",
+                        BEYOND.as_secs()
+                    );
+                    std::process::exit(1);
+                }
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        });
+        Watchdog(off)
+    }
+}
+
+impl Drop for Watchdog {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 fn bar(plan: &Plan) -> ProgressBar {
     // Drawn on a terminal only.
     let bar = ProgressBar::with_draw_target(
--- /dev/null
+++ b/lab/tests/judge.rs
@@ -0,0 +1,122 @@
+//! The judge on real processes: a sound gateway passes, and for each rule one that breaks it is caught.
+
+use starlinghill_lab::judge::{Rule, Word};
+use starlinghill_lab::play::{play, Played};
+use starlinghill_lab::scenario::Scenario;
+use starlinghill_lab::world::Means;
+use std::path::PathBuf;
+
+/// Two gateways and four backends, two of which are replaced: little load, so that a busy machine bears it.
+const SCENARIO: &str = r#"
+name = "small"
+about = "A small fleet for the tests of the judge."
+length_s = 7
+warm_up_s = 0
+load.per_s = 30
+load.spread = [1, 2]
+load.retries = 0
+load.spiky = 0
+load.full = 0
+load.heavy = 0
+gateways.count = 2
+gateways.memory_mb = 60
+backends.count = 4
+backends.drops_cancelled = false
+discovery.notice_s = [0.1, 0.2]
+discovery.add_s = [0.1, 0.2]
+[[plan]]
+name = "plain"
+share = 1
+rate = 10
+burst_s = 5
+price = 1
+over_cost = 1
+[[fault]]
+kind = "replace"
+at_s = 1
+who = ["backends:2"]
+batch = 1.0
+every_s = 1
+drain_s = 4
+"#;
+
+fn rules(mischief: &str, change: &[(&str, &str)]) -> (Vec<Rule>, Played) {
+    let mut text = SCENARIO.replace(
+        "gateways.count = 2",
+        &format!("gateways.count = 2\ngateways.env.MISCHIEF = \"{mischief}\""),
+    );
+    for (from, to) in change {
+        assert!(text.contains(from), "{from}");
+        text = text.replace(from, to);
+    }
+    let scenario = Scenario::parse(PathBuf::from("small.toml"), &text, &[]).expect("a good scenario");
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("judge-{mischief}-{}", std::process::id()));
+    let means = Means { binary: env!("CARGO_BIN_EXE_lab-mischief").into(), second: None, folder };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let played = runtime.block_on(play(&scenario, 1, &means)).expect("it runs");
+    (played.verdict.broken.iter().map(|b| b.rule).collect(), played)
+}
+
+#[test]
+fn a_sound_gateway_breaks_no_rule_and_its_figures_stand() {
+    let (broken, played) = rules("none", &[]);
+    assert_eq!(broken, [], "{:?}", played.verdict.broken);
+    let figures = &played.verdict.figures;
+    assert!(figures.requests > 50 && figures.served > 0.5, "{figures:?}");
+    assert!(figures.attempts > 0.9 && figures.counter_calls == 0.0, "{figures:?}");
+}
+
+#[test]
+fn requests_lost_late_answered_twice_or_with_made_up_bodies_are_caught() {
+    for mischief in ["lose", "late", "twice", "made-up"] {
+        let (broken, played) = rules(mischief, &[]);
+        assert_eq!(broken, [Rule::Answered], "{mischief}: {:?}", played.verdict.broken);
+        assert_eq!(played.verdict.word, Word::Failed, "{mischief}");
+    }
+}
+
+#[test]
+fn repeats_beyond_the_class_are_caught() {
+    // Work longer than the window, so that every repeat comes after it.
+    let keyed = "[[class]]\nname = \"publish-cover\"\nshare = 1\nwork_ms = 60\nwork_cv = 0\naim_ms = 900\n\
+                 deadline_ms = 2000\nworth = 1\neffect = \"keyed\"\nwindow_ms = 1\n[[fault]]";
+    let (broken, played) = rules("repeat", &[("[[fault]]", keyed), ("load.per_s = 30", "load.per_s = 10")]);
+    assert_eq!(broken, [Rule::Effect], "{:?}", played.verdict.broken);
+}
+
+#[test]
+fn sends_to_what_drains_are_caught() {
+    let (broken, played) = rules("drain", &[]);
+    assert_eq!(broken, [Rule::Drain], "{:?}", played.verdict.broken);
+}
+
+#[test]
+fn a_cold_backend_pushed_over_is_caught() {
+    let weak = (
+        "backends.count = 4",
+        "backends.count = 4\nbackends.cores = 0.2\nbackends.cold_s = 20\nbackends.fall_s = 1",
+    );
+    let (broken, played) = rules("cold", &[weak]);
+    assert!(broken.contains(&Rule::Cold), "{:?}", played.verdict.broken);
+}
+
+#[test]
+fn a_ceiling_passed_is_caught() {
+    let low = ("over_cost = 1", "over_cost = 1\nceiling = 1.1");
+    let heavy = ("load.heavy = 0", "load.heavy = 1\nload.heavy_x = [4, 4]");
+    let (broken, played) = rules("none", &[low, heavy]);
+    assert_eq!(broken, [Rule::Ceiling], "{:?}", played.verdict.broken);
+}
+
+#[test]
+fn a_crash_and_too_much_memory_are_caught() {
+    let (broken, played) = rules("crash", &[]);
+    assert!(broken.contains(&Rule::Crash), "{:?}", played.verdict.broken);
+    let (broken, played) = rules("memory", &[]);
+    assert_eq!(broken, [Rule::Limits], "{:?}", played.verdict.broken);
+}
