--- a/lab/src/judge/mod.rs
+++ b/lab/src/judge/mod.rs
@@ -3,6 +3,8 @@
 
 mod figures;
 mod rules;
+#[cfg(test)]
+mod tests;
 
 pub use figures::{Figures, Row, Timeline};
 pub use rules::{Broken, Rule};
--- /dev/null
+++ b/lab/src/judge/tests.rs
@@ -0,0 +1,116 @@
+//! The judge on records made by hand: what no process can be made to show at will.
+
+use super::*;
+use crate::plan::us;
+use crate::record::{Attempt, End, Excuse, Life, LifeEvent, Outcome, Told, Try};
+use crate::scenario::Scenario;
+
+fn plan() -> Plan {
+    let text = "name = \"x\"\nabout = \"x.\"\nlength_s = 10\nwarm_up_s = 0\nload.per_s = 5\n\
+                load.heavy = 0\nload.spiky = 0\nload.full = 0\n\
+                [expect]\nserved_min = 0.9\n";
+    let scenario = Scenario::parse("x".into(), text, &[]).expect("good");
+    Plan::draw(&scenario, 1)
+}
+
+/// All first tries answered in time by one attempt each.
+fn sound(plan: &Plan) -> Record {
+    let mut record = Record::default();
+    for (arrival, spec) in plan.arrivals.iter().enumerate() {
+        let id = plan.id(arrival, 0);
+        let (came, ended, gateway) = (spec.at + 1000, spec.at + 30_000, spec.gateways[0]);
+        record.attempts.push(Attempt {
+            id,
+            backend: 0,
+            gateway,
+            first: came,
+            came,
+            ended,
+            outcome: Outcome::Served,
+            ran: true,
+            mark: 7,
+            work_us: 20_000.0,
+        });
+        record.tries.push(Try {
+            arrival,
+            nth: 0,
+            id,
+            gateway,
+            life: 0,
+            due: spec.at,
+            until: spec.at + spec.patience_us,
+            began: spec.at,
+            written: Some(spec.at + 500),
+            ended,
+            end: End::Answer { status: 200, mark: Some(7) },
+            twice: false,
+        });
+    }
+    record
+}
+
+#[test]
+fn a_late_generator_or_a_lack_of_ports_is_never_held() {
+    let plan = plan();
+    let record = sound(&plan);
+    let verdict = judge(&plan, &record);
+    assert_eq!((verdict.word, verdict.broken.len()), (Word::Held, 0), "{:?}", verdict.missed);
+    assert!(verdict.figures.served > 0.99 && (verdict.figures.attempts - 1.0).abs() < 1e-9);
+    let mut late = record.clone();
+    late.tries.iter_mut().for_each(|one| one.began += 30_000);
+    assert_eq!(judge(&plan, &late).word, Word::NotValid);
+    let starved = Record { starved: 1, ..record };
+    assert_eq!(judge(&plan, &starved).word, Word::NotValid);
+}
+
+#[test]
+fn expectations_missed_fail_the_run() {
+    let plan = plan();
+    let mut record = sound(&plan);
+    record.tries.iter_mut().for_each(|one| one.end = End::Answer { status: 502, mark: None });
+    let verdict = judge(&plan, &record);
+    assert_eq!((verdict.word, verdict.missed.len()), (Word::Failed, 1));
+}
+
+#[test]
+fn what_is_lost_is_excused_only_while_its_gateway_could_not_answer() {
+    let plan = plan();
+    let mut record = sound(&plan);
+    let lost = record.tries.len() / 2;
+    record.tries[lost].end = End::Broken;
+    let Try { gateway, written, ended, .. } = record.tries[lost].clone();
+    assert_eq!(judge(&plan, &record).broken[0].rule, Rule::Answered);
+    let event = |at, what| LifeEvent { gateway, life: 0, at, what };
+    let killed = Record { lives: vec![event(ended, Life::Killed)], ..record.clone() };
+    assert_eq!(judge(&plan, &killed).broken, []);
+    let cut = Excuse { gateway, from: written.unwrap_or(0), to: ended };
+    assert_eq!(judge(&plan, &Record { excuses: vec![cut], ..record.clone() }).broken, []);
+    // Killed and ready again long before: no excuse any more.
+    let early = vec![event(0, Life::Killed), event(1, Life::Ready)];
+    let too_early = Record { lives: early, ..record.clone() };
+    assert!(ended < 100_000 || judge(&plan, &too_early).broken.len() == 1);
+    // SIGTERM excuses what came 0.7 s after it and no sooner.
+    for (before, broken) in [(us(0.5), 1), (us(0.9), 0)] {
+        let term = written.unwrap_or(0).saturating_sub(before);
+        let lives = vec![event(term, Life::Terminated)];
+        assert_eq!(judge(&plan, &Record { lives, ..record.clone() }).broken.len(), broken, "{before}");
+    }
+}
+
+#[test]
+fn a_paused_gateway_has_its_second_after_waking() {
+    let plan = plan();
+    let mut record = sound(&plan);
+    let attempt = record.attempts.last().expect("some").clone();
+    let told = |at| Told { gateway: attempt.gateway, life: 0, backend: 0, ready: false, at };
+    let heard = attempt.first - us(2.0);
+    record.told = vec![told(heard)];
+    let first = judge(&plan, &record);
+    assert_eq!(first.broken.iter().map(|b| b.rule).collect::<Vec<_>>(), [Rule::Drain]);
+    let event = |at, what| LifeEvent { gateway: attempt.gateway, life: 0, at, what };
+    record.lives = vec![event(heard - 1000, Life::Paused), event(attempt.first - us(0.5), Life::Continued)];
+    assert!(
+        judge(&plan, &record).broken.iter().all(|b| b.count < first.broken[0].count),
+        "it woke half a second ago"
+    );
+}
