--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -172,7 +172,8 @@
         tokio::spawn(async move {
             let deadline = clients.ground.clock.instant(until + GRACE);
             let mut retry_after = None;
-            this.end = match timeout_at(deadline, clients.exchange(&mut this, &text, deadline)).await {
+            let until = clients.ground.clock.instant(until);
+            this.end = match timeout_at(deadline, clients.exchange(&mut this, &text, until)).await {
                 Ok((end, answer)) => {
                     retry_after = answer.and_then(|answer| answer.retry_after);
                     end
@@ -192,20 +193,25 @@
         }
     }
 
-    /// Writes the request and waits for its answer, once more where a close crossed it.
-    async fn exchange(&self, this: &mut Try, text: &[u8], deadline: Instant) -> (End, Option<Answer>) {
+    /// Writes the request and waits for its answer, once more where a close crossed it. Nothing is written past the
+    /// client's time.
+    async fn exchange(&self, this: &mut Try, text: &[u8], until: Instant) -> (End, Option<Answer>) {
         let line = &self.lines[this.gateway];
         loop {
             let mut connection = match self.take(this).await {
                 Some(connection) => connection,
-                None => match self.connect(line).await {
-                    Ok(connection) => connection,
-                    Err(error) => {
+                None => match timeout_at(until, self.connect(line)).await {
+                    Ok(Ok(connection)) => connection,
+                    Ok(Err(error)) => {
                         self.ground.starved.note(&error);
                         return (End::Unreachable, None);
                     }
+                    Err(_) => return (End::Unreachable, None),
                 },
             };
+            if Instant::now() >= until {
+                return (End::Unreachable, None);
+            }
             let reused = connection.used > 0;
             let wrote = Instant::now();
             let written = connection.write(text).await.is_ok();
@@ -223,7 +229,7 @@
                     }
                     return (end, Some(answer));
                 }
-                Ok(None) if reused && wrote.elapsed() < CROSSED && Instant::now() < deadline => {
+                Ok(None) if reused && wrote.elapsed() < CROSSED => {
                     this.written = None;
                 }
                 Ok(None) if !written => return (End::Unreachable, None),
--- a/lab/src/judge/rules.rs
+++ b/lab/src/judge/rules.rs
@@ -158,7 +158,8 @@
 
 fn answered(one: &Try, attempts: &[&Attempt], absences: &Absences, book: &mut Book) {
     let Some(written) = one.written else { return };
-    let who = format!("g{}, id {:016x}, try {}", one.gateway, one.id, one.nth);
+    let sent = written as f64 / 1e6;
+    let who = format!("g{}, id {:016x}, try {}, written at {sent:.3} s", one.gateway, one.id, one.nth);
     if one.twice {
         book.note(Rule::Answered, one.ended, format!("{who}: more than one answer"));
     }
