--- a/lab/src/judge/figures.rs
+++ b/lab/src/judge/figures.rs
@@ -25,16 +25,25 @@
     pub refused_with_room: f64,
     /// Units sent on beyond quotas, of all units sent on.
     pub beyond: f64,
+    /// What those cost by their plans' prices, over the worth asked for inside quotas.
+    pub over_cost: f64,
+    /// The goal of the published site: 0.55 served + 0.2 worst_10s + 0.25 worst_plan - over_cost - 0.01 counter_calls
+    /// - 0.01 attempts that crossed zones a request. Prices of waste and of late failures are not in it.
+    pub goal: f64,
     /// Attempts at backends a request.
     pub attempts: f64,
     /// Attempts that crossed zones, of all.
     pub cross_zone: f64,
     /// Calls to the counter a request.
     pub counter_calls: f64,
+    /// Of those calls, turned away.
+    pub counter_full: f64,
     /// New connections at backends a request.
     pub connections: f64,
     /// Processor time of gateways a try, in microseconds.
     pub cpu_us: f64,
+    /// Processor time of the lab itself a try, in microseconds.
+    pub lab_cpu_us: f64,
     /// Answers 200: half came within this.
     pub p50_ms: f64,
     /// 99 in 100.
@@ -103,11 +112,15 @@
             ("refused", self.refused),
             ("refused_with_room", self.refused_with_room),
             ("beyond", self.beyond),
+            ("over_cost", self.over_cost),
+            ("goal", self.goal),
             ("attempts", self.attempts),
             ("cross_zone", self.cross_zone),
             ("counter_calls", self.counter_calls),
+            ("counter_full", self.counter_full),
             ("connections", self.connections),
             ("cpu_us", self.cpu_us),
+            ("lab_cpu_us", self.lab_cpu_us),
             ("p50_ms", self.p50_ms),
             ("p99_ms", self.p99_ms),
             ("p999_ms", self.p999_ms),
@@ -164,6 +177,7 @@
     refused: usize,
     refused_with_room: usize,
     beyond_units: f64,
+    beyond_cost: f64,
     sent_units: f64,
 }
 
@@ -186,6 +200,7 @@
         refused: 0,
         refused_with_room: 0,
         beyond_units: 0.0,
+        beyond_cost: 0.0,
         sent_units: 0.0,
     };
     for (at, one, sent) in events {
@@ -197,6 +212,8 @@
             if at >= from {
                 all.sent_units += units;
                 all.beyond_units += if inside { 0.0 } else { units };
+                let cost = plan.scenario.plans[plan.customers[arrival.customer].plan].over_cost;
+                all.beyond_cost += if inside { 0.0 } else { cost * value(plan, one.arrival) };
             }
         }
         let refused = matches!(one.end, End::Answer { status: 429 | 503, .. });
@@ -215,14 +232,17 @@
     earned: f64,
 }
 
+/// What a request is worth: by its class, its plan's price and its units.
+fn value(plan: &Plan, arrival: usize) -> f64 {
+    let spec = &plan.arrivals[arrival];
+    let price = plan.scenario.plans[plan.customers[spec.customer].plan].price;
+    plan.scenario.classes[spec.class].worth * price * f64::from(spec.units)
+}
+
 fn worths(plan: &Plan, record: &Record, inside: &HashMap<u64, bool>) -> Vec<Worth> {
     let mut stores = Stores::new(plan);
     let mut all: Vec<Worth> = Vec::with_capacity(plan.arrivals.len());
-    let value = |arrival: usize| {
-        let spec = &plan.arrivals[arrival];
-        let price = plan.scenario.plans[plan.customers[spec.customer].plan].price;
-        plan.scenario.classes[spec.class].worth * price * f64::from(spec.units)
-    };
+    let value = |arrival: usize| value(plan, arrival);
     for (number, arrival) in plan.arrivals.iter().enumerate() {
         let within = stores.take(arrival.customer, arrival.at, f64::from(arrival.units));
         all.push(Worth { offered: if within { value(number) } else { 0.0 }, earned: 0.0 });
@@ -299,7 +319,7 @@
     );
     let late = histogram(tries.iter().filter(|t| t.nth == 0).map(|t| t.began.saturating_sub(t.due)));
     let at = |h: &Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1000.0;
-    let figures = Figures {
+    let mut figures = Figures {
         requests,
         tries: tries.len(),
         served: share(sum(|w| w.earned), sum(|w| w.offered)),
@@ -308,9 +328,14 @@
         refused: quotas.refused as f64 / tries.len().max(1) as f64,
         refused_with_room: quotas.refused_with_room as f64 / tries.len().max(1) as f64,
         beyond: quotas.beyond_units / quotas.sent_units.max(1.0),
+        over_cost: quotas.beyond_cost / sum(|w| w.offered).max(1e-9),
+        goal: 0.0,
+        lab_cpu_us: record.lab_cpu_us as f64 / record.tries.len().max(1) as f64,
         attempts: each(attempts.len()),
         cross_zone: crossed.count() as f64 / attempts.len().max(1) as f64,
         counter_calls: each(record.calls.iter().filter(|c| c.at >= from).count()),
+        counter_full: record.calls.iter().filter(|c| c.status != 200).count() as f64
+            / record.calls.len().max(1) as f64,
         connections: record.connections as f64 / plan.arrivals.len().max(1) as f64,
         cpu_us: cpu_us(record) as f64 / record.tries.len().max(1) as f64,
         p50_ms: at(&times, 0.5),
@@ -329,6 +354,9 @@
         }),
         plans,
     };
+    let crossings = figures.cross_zone * figures.attempts;
+    let prices = figures.over_cost + 0.01 * figures.counter_calls + 0.01 * crossings;
+    figures.goal = 0.55 * figures.served + 0.2 * figures.worst_10s + 0.25 * figures.worst_plan - prices;
     (figures, timeline)
 }
 
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -212,6 +212,8 @@
     pub connections: usize,
     /// Times that the lab itself lacked a port or a descriptor.
     pub starved: usize,
+    /// Processor time of the lab itself over the run.
+    pub lab_cpu_us: u64,
     /// When the last arrival's settling was over.
     pub ended: Us,
 }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -6,7 +6,7 @@
 use crate::counter::Counter;
 use crate::datagrams::Mesh;
 use crate::discovery::{Discovery, Phase};
-use crate::gateway::{notice, watch_usage, Gateway, Place, StartError};
+use crate::gateway::{notice, used, watch_usage, Gateway, Place, StartError};
 use crate::ground::Ground;
 use crate::link::lock;
 use crate::plan::{us, Action, Plan};
@@ -150,6 +150,8 @@
     /// Plays the plan to its end; `seen` hears the number of each arrival as it is sent.
     pub async fn play(self: &Arc<World>, seen: impl Fn(usize)) -> Record {
         let ground = &self.ground;
+        let own = || used("self").map_or(0, |(cpu_us, _)| cpu_us);
+        let before = own();
         let usage = tokio::spawn(watch_usage(ground.clone(), self.gateways.clone()));
         let world = self.clone();
         let steps = tokio::spawn(async move {
@@ -173,6 +175,7 @@
         steps.abort();
         usage.abort();
         ground.note(|record| {
+            record.lab_cpu_us = own().saturating_sub(before);
             record.starved = ground.starved.count();
             record.ended = ground.clock.now();
             record.excuses = excuses(&ground.plan);
