--- a/lab/src/backend.rs
+++ b/lab/src/backend.rs
@@ -7,6 +7,7 @@
 use crate::record::{Attempt, Fall, Outcome};
 use crate::relay::Stamp;
 use crate::serve::{answer, connection, half, Answer};
+use crate::targets::Party;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -163,7 +164,12 @@
         let backend = self.clone();
         let idle = Duration::from_secs_f64(spec.idle_s);
         let mut alive = self.alive.subscribe();
+        let (own, from) = (Party::Backend(self.number), Party::Gateway(gateway));
+        let (up, down) = (self.ground.links.get(from, own), self.ground.links.get(own, from));
         tokio::spawn(async move {
+            // A handshake takes a round trip more before the first request is read.
+            down.cross(&mut down.watch()).await;
+            up.cross(&mut up.watch()).await;
             let serving = connection(stream, idle, |request| {
                 let (backend, first) = (backend.clone(), stamp.last());
                 async move { backend.serve(request, gateway, first).await }
--- a/lab/tests/judge.rs
+++ b/lab/tests/judge.rs
@@ -1,10 +1,13 @@
 //! The judge on real processes: a sound gateway passes, and for each rule one that breaks it is caught.
 
 use starlinghill_lab::judge::{Rule, Word};
+use starlinghill_lab::plan::Plan;
 use starlinghill_lab::play::{play, Played};
 use starlinghill_lab::scenario::Scenario;
-use starlinghill_lab::world::Means;
+use starlinghill_lab::world::{Means, World};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
 /// Two gateways and four backends, two of which are replaced: little load, so that a busy machine bears it.
 const SCENARIO: &str = r#"
@@ -72,14 +75,44 @@
 }
 
 #[test]
-fn requests_lost_late_answered_twice_or_with_made_up_bodies_are_caught() {
-    for mischief in ["lose", "late", "twice", "made-up"] {
-        let (broken, played) = rules(mischief, &[]);
-        assert_eq!(broken, [Rule::Answered], "{mischief}: {:?}", played.verdict.broken);
-        assert_eq!(played.verdict.word, Word::Failed, "{mischief}");
+fn a_run_that_breaks_off_leaves_no_process_behind() {
+    let scenario = Scenario::parse(PathBuf::from("small.toml"), SCENARIO, &[]).expect("a good scenario");
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("breaks-off-{}", std::process::id()));
+    let means = Means { binary: env!("CARGO_BIN_EXE_lab-mischief").into(), second: None, folder };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let world = runtime.block_on(World::start(Plan::draw(&scenario, 1), &means)).expect("it starts");
+    let listens = |world: &World| -> Vec<SocketAddr> {
+        world.gateways.iter().map(|g| g.place.lock().expect("whole").listen).collect()
+    };
+    let listens = listens(&world);
+    assert!(listens.iter().all(|address| TcpStream::connect(address).is_ok()));
+    // As a panic would: everything is dropped where it stands.
+    drop(runtime);
+    let until = Instant::now() + Duration::from_secs(10);
+    while listens.iter().any(|address| TcpStream::connect(address).is_ok()) {
+        assert!(Instant::now() < until, "a gateway lives on");
+        std::thread::sleep(Duration::from_millis(10));
     }
 }
 
+#[test]
+fn requests_lost_late_answered_twice_or_with_made_up_bodies_are_caught() {
+    std::thread::scope(|scope| {
+        for mischief in ["lose", "late", "twice", "made-up"] {
+            scope.spawn(move || {
+                let (broken, played) = rules(mischief, &[]);
+                assert_eq!(broken, [Rule::Answered], "{mischief}: {:?}", played.verdict.broken);
+                assert_eq!(played.verdict.word, Word::Failed, "{mischief}");
+            });
+        }
+    });
+}
+
 #[test]
 fn repeats_beyond_the_class_are_caught() {
     // Work longer than the window, so that every repeat comes after it.
