--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -105,8 +105,8 @@
     /// The other side.
     #[arg(long, value_name = "BIN_OR_SETTINGS")]
     b: String,
-    /// Pairs of plays; pair n has the scenario's seed plus n - 1.
-    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u32).range(1..=1000))]
+    /// Pairs of plays, six at least for a word on a difference; pair n has the scenario's seed plus n - 1.
+    #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u32).range(1..=1000))]
     pairs: u32,
     #[command(flatten)]
     common: Common,
--- a/lab/src/trials.rs
+++ b/lab/src/trials.rs
@@ -163,7 +163,7 @@
         match ratio(&values) {
             Some(found) => {
                 let each: Vec<String> = values.iter().map(|(a, b)| format!("{:.3}", b / a)).collect();
-                let words = if found.none_shown() { "no difference shown" } else { "differs" };
+                let words = found.words(values.len());
                 row.extend([
                     each.join(" "),
                     format!("{:.3}", found.mean),
