End the lab's gateways at SIGTERM and SIGHUP too

Cause: only Ctrl-C was waited for, and only once all gateways stood. A lab that was ended by SIGTERM (a time limit round it) left its gateways behind: nine of them, of three such ends, stood an hour later.

All three signals are waited for from the start on; gateways that have started by then end with their handles. The test that held for SIGINT now holds for each of them.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod serve;
 pub mod settings;
 pub mod stats;
+mod stop;
 pub mod table;
 pub mod targets;
 mod trials;
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -45,15 +45,19 @@
     Stopped,
 }
 
-/// Plays a scenario with a seed. Ctrl-C ends the run and all of its processes.
+/// Plays a scenario with a seed. Ctrl-C and SIGTERM end the run and all of its processes.
 pub async fn play(scenario: &Scenario, seed: u64, means: &Means) -> Result<Played, PlayError> {
     let plan = Plan::draw(scenario, seed);
     let bar = bar(&plan);
-    let world = World::start(plan.clone(), means).await?;
+    let world = tokio::select! {
+        world = World::start(plan.clone(), means) => world?,
+        // What has started by then ends with its handles.
+        () = crate::stop::asked() => return Err(PlayError::Stopped),
+    };
     let _watchdog = Watchdog::over(&world, scenario);
     let record = tokio::select! {
         record = world.play(|sent| bar.set_position(sent as u64)) => record,
-        _ = tokio::signal::ctrl_c() => {
+        () = crate::stop::asked() => {
             bar.finish_and_clear();
             world.end().await;
             return Err(PlayError::Stopped);
--- a/lab/src/up.rs
+++ b/lab/src/up.rs
@@ -24,7 +24,10 @@
     let class = plan.scenario.classes[0].name.clone();
     let customer = plan.customers[0].number;
     let tariff = plan.scenario.plans[plan.customers[0].plan].name.clone();
-    let world = World::start(plan, means).await.map_err(|e: SetUpError| Failure::from(PlayError::from(e)))?;
+    let world = tokio::select! {
+        world = World::start(plan, means) => world.map_err(|e: SetUpError| PlayError::from(e))?,
+        () = crate::stop::asked() => return Err(PlayError::Stopped.into()),
+    };
     println!("gateway  clients                operators");
     for gateway in &world.gateways {
         let place = lock(&gateway.place);
@@ -42,8 +45,7 @@
          'http://{listen}/api?customer={customer:016x}'"
     );
     println!("curl http://{ops}/stats\n\nCtrl-C ends it all.");
-    // Without signals there is no way to wait for one: end at once.
-    let _ = tokio::signal::ctrl_c().await;
+    crate::stop::asked().await;
     world.end().await;
     println!("\nall ended");
     Ok(0)
--- a/lab/tests/program.rs
+++ b/lab/tests/program.rs
@@ -79,7 +79,13 @@
 }
 
 #[test]
-fn ctrl_c_ends_the_fleet_and_leaves_no_process_behind() {
+fn any_signal_to_end_ends_the_fleet_and_leaves_no_process_behind() {
+    for signal in [Signal::SIGINT, Signal::SIGTERM, Signal::SIGHUP] {
+        ends_by(signal);
+    }
+}
+
+fn ends_by(signal: Signal) {
     let mut child = Command::new(LAB)
         .args(["up", "--gateways", "2", "--backends", "2", "--gateway", GATEWAY])
         .stdout(Stdio::piped())
@@ -97,7 +103,7 @@
     }
     assert_eq!(addresses.len(), 2);
     assert!(addresses.iter().all(|a| TcpStream::connect(a).is_ok()));
-    kill(Pid::from_raw(child.id() as i32), Signal::SIGINT).expect("sent");
+    kill(Pid::from_raw(child.id() as i32), signal).expect("sent");
     let until = Instant::now() + Duration::from_secs(20);
     let status = loop {
         match child.try_wait().expect("a child") {
