Test the judge on unsafe repeats, seven attempts, made-up requests and both limits

Need: going through the judge rule by rule, the branches for unsafe classes, the sixth attempt, ids that no client sent and descriptors had no case that could go red, and one assertion on an excuse long past held whenever a request came early.

--- a/lab/src/judge/tests.rs
+++ b/lab/src/judge/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 use crate::plan::us;
-use crate::record::{Attempt, End, Excuse, Life, LifeEvent, Outcome, Told, Try};
-use crate::scenario::Scenario;
+use crate::record::{Attempt, End, Excuse, Life, LifeEvent, Outcome, Told, Try, Usage};
+use crate::scenario::{Effect, Scenario};
 
 fn plan() -> Plan {
     let text = "name = \"x\"\nabout = \"x.\"\nlength_s = 10\nwarm_up_s = 0\nload.per_s = 5\n\
@@ -86,9 +86,10 @@
     let cut = Excuse { gateway, from: written.unwrap_or(0), to: ended };
     assert_eq!(judge(&plan, &Record { excuses: vec![cut], ..record.clone() }).broken, []);
     // Killed and ready again long before: no excuse any more.
+    assert!(ended > 100_000, "a request from the middle of the run");
     let early = vec![event(0, Life::Killed), event(1, Life::Ready)];
     let too_early = Record { lives: early, ..record.clone() };
-    assert!(ended < 100_000 || judge(&plan, &too_early).broken.len() == 1);
+    assert_eq!(judge(&plan, &too_early).broken.len(), 1);
     // SIGTERM excuses what came 0.7 s after it and no sooner.
     for (before, broken) in [(us(0.5), 1), (us(0.9), 0)] {
         let term = written.unwrap_or(0).saturating_sub(before);
@@ -114,3 +115,49 @@
         "it woke half a second ago"
     );
 }
+
+#[test]
+fn repeats_are_held_to_the_class_and_no_request_to_more_than_six_attempts() {
+    let sound_plan = plan();
+    let mut unsafe_plan = plan();
+    unsafe_plan.scenario.classes.iter_mut().for_each(|class| class.effect = Effect::Unsafe);
+    let again = |times: u64, outcome: Outcome| {
+        let mut record = sound(&sound_plan);
+        let attempt = Attempt { outcome, ..record.attempts[0].clone() };
+        record.attempts[0].outcome = outcome;
+        let more = (1..=times).map(|n| Attempt {
+            first: attempt.first + n * 100,
+            outcome: Outcome::Served,
+            ..attempt.clone()
+        });
+        record.attempts.extend(more);
+        record
+    };
+    let rules =
+        |plan: &Plan, record: &Record| judge(plan, record).broken.iter().map(|b| b.rule).collect::<Vec<_>>();
+    assert_eq!(rules(&unsafe_plan, &again(1, Outcome::Abandoned)), [Rule::Effect], "it may have run");
+    assert_eq!(rules(&unsafe_plan, &again(1, Outcome::TurnedAway)), [], "it never ran");
+    assert_eq!(rules(&sound_plan, &again(5, Outcome::TurnedAway)), [], "six in all");
+    assert_eq!(rules(&sound_plan, &again(6, Outcome::TurnedAway)), [Rule::Effect], "seven in all");
+    let mut refused = sound(&sound_plan);
+    refused.tries[0].end = End::Answer { status: 429, mark: None };
+    assert_eq!(rules(&unsafe_plan, &refused), [Rule::Effect], "refused, though it may have run");
+    assert_eq!(rules(&sound_plan, &refused), []);
+    let mut made_up = sound(&sound_plan);
+    made_up.attempts.push(Attempt { id: 0, ..made_up.attempts[0].clone() });
+    assert_eq!(rules(&sound_plan, &made_up), [Rule::Effect], "no client sent it");
+}
+
+#[test]
+fn limits_hold_to_the_byte_and_the_descriptor() {
+    let plan = plan();
+    let (memory, descriptors) = (192_000_000, 1024);
+    for (memory, descriptors, broken) in
+        [(memory, descriptors, 0), (memory + 1, descriptors, 1), (memory, descriptors + 1, 1)]
+    {
+        let usage = vec![Usage { gateway: 0, life: 0, at: 1, cpu_us: 0, memory, descriptors }];
+        let found = judge(&plan, &Record { usage, ..sound(&plan) }).broken;
+        assert_eq!(found.len(), broken, "{found:?}");
+        assert!(found.iter().all(|b| b.rule == Rule::Limits));
+    }
+}
