--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -14,7 +14,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Semaphore};
 use tokio::time::{sleep, timeout_at, Instant};
 
 /// Requests under way at once; beyond that the lab itself is too slow.
@@ -35,6 +35,8 @@
     address: SocketAddr,
     way: Way,
     kept: Mutex<Vec<Kept>>,
+    /// One for each connection that may carry a request.
+    places: Semaphore,
     /// The front has noticed that it is down.
     down: AtomicBool,
 }
@@ -57,6 +59,7 @@
                 clock: ground.clock.clone(),
             },
             kept: Mutex::default(),
+            places: Semaphore::new(ground.plan.scenario.load.connections),
             down: AtomicBool::new(false),
         };
         let lines = addresses.iter().enumerate().map(line).collect();
@@ -197,6 +200,10 @@
     /// client's time.
     async fn exchange(&self, this: &mut Try, text: &[u8], until: Instant) -> (End, Option<Answer>) {
         let line = &self.lines[this.gateway];
+        // Nobody closes the places.
+        let Ok(Ok(_place)) = timeout_at(until, line.places.acquire()).await else {
+            return (End::Unreachable, None);
+        };
         loop {
             let mut connection = match self.take(this).await {
                 Some(connection) => connection,
--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -11,6 +11,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::DuplexStream;
@@ -21,6 +22,8 @@
 const LONGEST_HOLD_MS: u64 = 60_000;
 /// An idle connection is closed after this.
 const IDLE: Duration = Duration::from_secs(90);
+/// Connections of a gateway to its agent at once.
+const CONNECTIONS: usize = 32;
 /// What the agent has counts as told after this.
 const DEEMED: Us = 6_000_000;
 /// The first revision of a list.
@@ -59,6 +62,7 @@
     list: Mutex<List>,
     revision: watch::Sender<u64>,
     silent: watch::Sender<u32>,
+    connections: AtomicUsize,
 }
 
 /// The true list and all agents.
@@ -80,7 +84,13 @@
         let agent = |gateway| {
             let list = List { revision: FIRST, entries: BTreeMap::new() };
             let (revision, silent) = (watch::Sender::new(FIRST), watch::Sender::new(0));
-            Arc::new(Agent { gateway, list: Mutex::new(list), revision, silent })
+            Arc::new(Agent {
+                gateway,
+                list: Mutex::new(list),
+                revision,
+                silent,
+                connections: AtomicUsize::new(0),
+            })
         };
         Arc::new(Discovery {
             agents: (0..ground.plan.scenario.gateways.count).map(agent).collect(),
@@ -236,13 +246,18 @@
 
     /// Takes a connection of a gateway to its agent.
     pub fn accept(self: &Arc<Discovery>, stream: DuplexStream, gateway: usize) {
-        let discovery = self.clone();
+        let (discovery, agent) = (self.clone(), self.agents[gateway].clone());
+        if agent.connections.fetch_add(1, Ordering::Relaxed) >= CONNECTIONS {
+            agent.connections.fetch_sub(1, Ordering::Relaxed);
+            return;
+        }
         tokio::spawn(async move {
             connection(stream, IDLE, |request| {
                 let discovery = discovery.clone();
                 async move { discovery.serve(&request, gateway).await }
             })
             .await;
+            agent.connections.fetch_sub(1, Ordering::Relaxed);
         });
     }
 
