--- a/lab/tests/links.rs
+++ b/lab/tests/links.rs
@@ -24,8 +24,13 @@
     LinkChange { cut: true, delay_us: 0, jitter_us: 0, loss: 0, duplicate: 0, reorder: 0 };
 
 fn links() -> Links {
-    let text = "name = \"x\"\nabout = \"x.\"\nlength_s = 5\n";
-    Links::new(&Scenario::parse(PathBuf::from("x"), text, &[]).expect("good"), 1)
+    links_of("")
+}
+
+/// Links of a scenario with these lines.
+fn links_of(lines: &str) -> Links {
+    let text = format!("name = \"x\"\nabout = \"x.\"\nlength_s = 5\n{lines}");
+    Links::new(&Scenario::parse(PathBuf::from("x"), &text, &[]).expect("good"), 1)
 }
 
 fn local() -> IpAddr {
@@ -157,3 +162,38 @@
         assert_eq!(&buffer[..got], b"double");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reordered_datagrams_all_come_out_of_turn_and_lost_ones_stay_away() {
+    // Without delays of their own, which would overtake each other as well.
+    let links = links_of("net.cross_ms = 0\nnet.jitter = 0\n");
+    let parties = [
+        UdpSocket::bind((local(), 0)).await.expect("a port"),
+        UdpSocket::bind((local(), 0)).await.expect("a port"),
+    ];
+    let own = parties.iter().map(|p| p.local_addr().expect("bound")).collect();
+    let mesh = Mesh::open(&[local(), local()], own, &links).await.expect("ports");
+    let link = links.get(Party::Gateway(0), Party::Gateway(1));
+    let half = LinkChange { cut: false, reorder: 500_000, ..CUT };
+    link.change(&half, true);
+    let mut heard = Vec::new();
+    for number in 0..100u8 {
+        parties[0].send_to(&[number], mesh.seen[0][1]).await.expect("sent");
+        // One after another, so that only what is held up on purpose is overtaken.
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    while heard.len() < 100 {
+        let mut byte = [0];
+        timeout(PATIENCE, parties[1].recv_from(&mut byte)).await.expect("all come").expect("received");
+        heard.push(byte[0]);
+    }
+    let overtaken = |place: usize| heard[place..].iter().filter(|later| **later < heard[place]).count();
+    let inversions: usize = (0..heard.len()).map(overtaken).sum();
+    assert!(inversions > 50, "half of them were overtaken by several behind them: {inversions}");
+    heard.sort_unstable();
+    assert_eq!(heard, (0..100).collect::<Vec<u8>>(), "each came once");
+    link.change(&half, false);
+    link.change(&LinkChange { cut: false, loss: 1_000_000, ..CUT }, true);
+    parties[0].send_to(b"lost", mesh.seen[0][1]).await.expect("sent");
+    assert!(timeout(HELD_UP, parties[1].recv_from(&mut [0; 8])).await.is_err());
+}
