Tell the gateways of each other by SWIM, off unless configured

Need: a gateway knew its fleet only as a fixed number; a neighbour's death or a second process under its name could not be seen.

Change: src/fleet (no I/O) wraps the crate foca: frames with fleet, version and checksum; a clock that leaves out time slept through; time-outs that stretch with local health; the suspecting member asks the suspect itself; leaving by word; rivals under one name; addresses by map and by word. src/net/peers.rs holds the socket, within a budget of datagrams; GET /fleet and gauges on the operators' address. All of it waits for NODE_FLEET. The lab plays it under virtual time: `starlinghill-lab members`, and properties over random faults in lab/tests/members.rs.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -33,6 +33,8 @@
     Compare(Compare),
     /// Start stand-ins and a few gateways that stay until Ctrl-C, to try by hand.
     Up(Up),
+    /// Measure the gateways' membership under virtual time at several sizes of the fleet: a table.
+    Members(Members),
     /// Say everything that is wrong with a scenario, without playing it.
     Check {
         /// The scenario files.
@@ -124,6 +126,22 @@
     common: Common,
 }
 
+#[derive(Debug, Args)]
+struct Members {
+    /// Sizes of the fleet.
+    #[arg(long, value_delimiter = ',', default_value = "10,30,100", value_name = "N,N")]
+    sizes: Vec<usize>,
+    /// Plays of each size, with the seeds 1, 2, and so on.
+    #[arg(long, default_value_t = 3)]
+    plays: u64,
+    /// Deaths in each play.
+    #[arg(long, default_value_t = 10)]
+    deaths: usize,
+    /// Leave out the ten minutes of loss and pauses.
+    #[arg(long)]
+    no_storm: bool,
+}
+
 /// Seeds of a sweep.
 #[derive(Debug, Clone)]
 pub struct Seeds(pub Vec<u64>);
@@ -221,6 +239,10 @@
             Ok(means) => up::up(up.gateways.into(), up.backends.into(), &means).await,
             Err(failure) => Err(failure),
         },
+        Command::Members(m) => {
+            print!("{}", crate::members::measure::table(&m.sizes, m.plays, m.deaths, !m.no_storm));
+            Ok(0)
+        }
         Command::Check { scenarios } => Ok(check(&scenarios)),
     };
     done.unwrap_or_else(|failure| {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod judge;
 pub mod link;
 pub mod machine;
+pub mod members;
 pub mod plan;
 pub mod play;
 pub mod record;
--- a/lab/src/scenario/parts.rs
+++ b/lab/src/scenario/parts.rs
@@ -191,7 +191,7 @@
     pub sockets: usize,
     /// They reach each other over UDP: each gets relay addresses of its own for all others.
     pub peers: bool,
-    /// Further environment. `{name}`, `{zone}`, `{folder}`, `{peers}` (a TOML file of names and addresses) and
+    /// Further environment. `{name}`, `{zone}`, `{folder}`, `{peers}` (the fleet's file, as `NODE_FLEET` takes it) and
     /// `{peer_listen}` stand for this gateway's own.
     pub env: BTreeMap<String, String>,
     /// The numbers of gateways that run the second binary, where the command line names one.
--- a/lab/src/stats.rs
+++ b/lab/src/stats.rs
@@ -13,6 +13,13 @@
     }
 }
 
+/// The value that the part `q` of all values does not exceed, by the nearest rank.
+pub fn quantile(values: &mut [f64], q: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let rank = (q * values.len() as f64).ceil().max(1.0) as usize;
+    values.get(rank.min(values.len()).wrapping_sub(1)).copied().unwrap_or(f64::NAN)
+}
+
 /// The least and the greatest.
 pub fn spread(values: &[f64]) -> (f64, f64) {
     let least = values.iter().copied().fold(f64::INFINITY, f64::min);
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -491,8 +491,10 @@
         let others = mesh.seen[number].iter().enumerate().filter(|(other, _)| *other != number);
         let lines: Vec<String> =
             others.map(|(other, address)| format!("g{other} = \"{address}\"\n")).collect();
-        std::fs::write(&peers, format!("[peers]\n{}", lines.concat()))?;
         listen = mesh.own[number].to_string();
+        let zone = &scenario.net.zones[number % scenario.zones()];
+        let head = format!("fleet = \"lab\"\nlisten = \"{listen}\"\nzone = \"{zone}\"\n");
+        std::fs::write(&peers, format!("{head}\n[peers]\n{}", lines.concat()))?;
     }
     let folder = |path: &Path| path.display().to_string();
     let fill = |text: &String| {
--- /dev/null
+++ b/src/fleet/frame.rs
@@ -0,0 +1,126 @@
+//! The frame of a datagram: which fleet it is of, a checksum, and what it carries.
+//!
+//! Nothing here is secret: the checksum tells accidents from messages, not friends from foes.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The longest datagram that is sent or taken, in bytes.
+pub const LONGEST: usize = 1200;
+/// The version of the protocol. Another one is dropped and counted.
+pub const VERSION: u8 = 1;
+/// Bytes before the head: a mark, the version, the fleet, a checksum over all that follows.
+const PRELUDE: usize = 2 + 1 + 4 + 4;
+const MARK: [u8; 2] = *b"SH";
+/// The most bytes that a frame adds to what the membership protocol writes.
+pub const OVERHEAD: usize = PRELUDE + 1 + 10 + 1 + 4;
+
+/// What a frame carries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Head {
+    /// A message of the membership protocol follows.
+    Swim {
+        /// The highest incarnation that the sender has on record under the receiver's name; 0: none.
+        on_record: u64,
+        /// That life is held to live.
+        live: bool,
+        /// The sender holds the receiver, as it told of itself last by this number, for a suspect.
+        doubt: Option<u16>,
+    },
+}
+
+/// Why a datagram was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stranger {
+    /// It is no datagram of this protocol, or a part of one.
+    Rubbish,
+    /// It is longer than any datagram of this protocol.
+    Oversized,
+    /// Of a version that this program does not speak.
+    Version,
+    /// Of another fleet.
+    Fleet,
+    /// Sound, but not what this member may be told.
+    Refused,
+}
+
+impl Stranger {
+    /// All kinds.
+    pub const ALL: [Stranger; 5] =
+        [Stranger::Rubbish, Stranger::Oversized, Stranger::Version, Stranger::Fleet, Stranger::Refused];
+
+    /// Its name in figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Stranger::Rubbish => "rubbish",
+            Stranger::Oversized => "oversized",
+            Stranger::Version => "version",
+            Stranger::Fleet => "fleet",
+            Stranger::Refused => "refused",
+        }
+    }
+}
+
+/// What stands for a fleet's name on the wire.
+pub fn tag(fleet: &str) -> u32 {
+    xxh3_64(fleet.as_bytes()) as u32
+}
+
+/// Writes a frame. `None` where it would be too long.
+pub fn write(tag: u32, head: &Head, rest: &[u8]) -> Option<Vec<u8>> {
+    let mut bytes = Vec::with_capacity(OVERHEAD + rest.len());
+    bytes.extend(MARK);
+    bytes.push(VERSION);
+    bytes.extend(tag.to_le_bytes());
+    bytes.extend([0; 4]);
+    let mut bytes = postcard::to_extend(head, bytes).ok()?;
+    bytes.extend_from_slice(rest);
+    let sum = (xxh3_64(bytes.get(PRELUDE..)?) as u32).to_le_bytes();
+    bytes.get_mut(PRELUDE - 4..PRELUDE)?.copy_from_slice(&sum);
+    (bytes.len() <= LONGEST).then_some(bytes)
+}
+
+/// Reads a frame.
+pub fn read(tag: u32, bytes: &[u8]) -> Result<(Head, &[u8]), Stranger> {
+    if bytes.len() > LONGEST {
+        return Err(Stranger::Oversized);
+    }
+    let (prelude, body) = bytes.split_at_checked(PRELUDE).ok_or(Stranger::Rubbish)?;
+    let word = |from: usize| prelude.get(from..from + 4).map_or([0; 4], |w| w.try_into().unwrap_or([0; 4]));
+    if prelude.get(..2) != Some(&MARK[..]) {
+        return Err(Stranger::Rubbish);
+    }
+    if prelude.get(2) != Some(&VERSION) {
+        return Err(Stranger::Version);
+    }
+    if word(3) != tag.to_le_bytes() {
+        return Err(Stranger::Fleet);
+    }
+    if word(7) != (xxh3_64(body) as u32).to_le_bytes() {
+        return Err(Stranger::Rubbish);
+    }
+    postcard::take_from_bytes(body).map_err(|_| Stranger::Rubbish)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_frame_comes_back_and_every_changed_or_cut_one_is_a_stranger() {
+        let head = Head::Swim { on_record: 77, live: true, doubt: Some(3) };
+        let whole = write(tag("norte"), &head, b"inner").expect("short enough");
+        assert_eq!(read(tag("norte"), &whole), Ok((head.clone(), &b"inner"[..])));
+        assert_eq!(read(tag("sur"), &whole), Err(Stranger::Fleet));
+        for cut in 0..whole.len() {
+            assert!(read(tag("norte"), &whole[..cut]).is_err(), "cut at {cut}");
+        }
+        for at in 0..whole.len() {
+            let mut bent = whole.clone();
+            bent[at] ^= 0x10;
+            assert!(read(tag("norte"), &bent).is_err(), "changed at {at}");
+        }
+        assert_eq!(read(tag("norte"), &[0; LONGEST + 1]), Err(Stranger::Oversized));
+        assert_eq!(write(tag("norte"), &head, &[0; LONGEST]), None);
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,433 @@
+//! What the gateways know together: who is present, and whether they agree on it.
+//!
+//! No I/O, no clock, no global randomness: events in, effects out, time and seeds passed in. `net::peers` holds
+//! the socket. `docs/decisions/0001-membership.md` says why it is so.
+
+mod frame;
+mod health;
+mod identity;
+mod report;
+mod swim;
+
+pub use crate::api::Micros;
+pub use frame::{Stranger, LONGEST};
+pub use health::WAKE;
+pub use identity::{is_name, About, Identity, LONGEST_NAME};
+pub use report::{MemberReport, Report};
+pub use swim::{Record, Standing, MOST_MEMBERS};
+
+use frame::Head;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use swim::{Outgoing, Swim};
+
+/// How long after it came to know others a gateway stands as the one of its name.
+const ESTABLISHED: Micros = Micros(10_000_000);
+/// The first calls of a gateway that knows nobody come within this, and then after it, doubled each time.
+const FIRST_CALL: Micros = Micros(500_000);
+const LONGEST_CALL: Micros = Micros(8_000_000);
+/// Between two calls at configured gateways that are not present, of one that knows others.
+const CALL_ABSENT: Micros = Micros(2_000_000);
+/// Configured gateways called at once by one that knows nobody.
+const CALLS: usize = 3;
+/// A datagram that is under way for longer than this is taken for a sign that its sender lives.
+const UNDER_WAY: Micros = Micros(3_000_000);
+/// How often a leaver tells it again.
+const FAREWELLS: u32 = 4;
+
+/// What a gateway is told of its fleet.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The fleet's name; members of another are strangers.
+    pub fleet: String,
+    /// The gateway's name.
+    pub name: String,
+    /// What it tells of itself.
+    pub about: About,
+    /// Where other gateways are, as seen from here.
+    pub peers: BTreeMap<String, SocketAddr>,
+    /// How often a member is probed.
+    pub period: Duration,
+}
+
+/// Settings that no fleet can have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError(pub String);
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Whether these settings make sense.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let fail = |what: String| Err(SettingsError(what));
+        let name = |what: &str, text: &str| match is_name(text) {
+            true => Ok(()),
+            false => {
+                fail(format!("{what}: expected 1 to 32 letters, digits, '.', '_' or '-', found '{text}'"))
+            }
+        };
+        name("fleet", &self.fleet)?;
+        name("name", &self.name)?;
+        self.peers.keys().try_for_each(|peer| name("peers", peer))?;
+        if !self.about.zone.is_empty() {
+            name("zone", &self.about.zone)?;
+        }
+        if self.peers.len() >= MOST_MEMBERS {
+            return fail(format!("peers: expected fewer than {MOST_MEMBERS}, found {}", self.peers.len()));
+        }
+        if !(Duration::from_millis(100)..=Duration::from_secs(60)).contains(&self.period) {
+            return fail(format!("period: expected 0.1 s to 60 s, found {:?}", self.period));
+        }
+        Ok(())
+    }
+}
+
+/// What a gateway's fleet part is told.
+#[derive(Debug)]
+pub enum Event<'a> {
+    /// A datagram came, from there.
+    Datagram(SocketAddr, &'a [u8]),
+    /// Time went by; due every `WAKE` at least.
+    Wake,
+    /// The gateway leaves by its own word.
+    Leave,
+    /// Gateways are elsewhere now.
+    Peers(BTreeMap<String, SocketAddr>),
+}
+
+/// What a gateway's fleet part wants done.
+#[derive(Debug)]
+pub enum Effect {
+    /// Send a datagram.
+    Send(SocketAddr, Vec<u8>),
+    /// A line for the log.
+    Tell(Notice),
+}
+
+/// What people should hear of.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Notice {
+    /// Another life under the own name lives; the older, this one, yields its seat and goes on serving.
+    Yielded {
+        /// This process's incarnation.
+        own: u64,
+        /// The other's.
+        other: u64,
+    },
+    /// Two processes send under one name.
+    Rivals {
+        /// The name.
+        name: String,
+        /// The older process's incarnation.
+        older: u64,
+        /// The younger's.
+        newer: u64,
+    },
+    /// A member's standing changed.
+    Standing {
+        /// Its name.
+        name: String,
+        /// What is held of it now.
+        standing: Standing,
+        /// Why.
+        why: &'static str,
+    },
+}
+
+/// Datagrams and bytes, both ways, and what was dropped.
+#[derive(Debug, Clone, Default)]
+pub struct Traffic {
+    /// Datagrams taken.
+    pub heard: u64,
+    /// Bytes of them.
+    pub heard_bytes: u64,
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Bytes of them.
+    pub sent_bytes: u64,
+    /// Messages that had no address to go to.
+    pub unaddressed: u64,
+    /// Datagrams dropped, by why.
+    pub strangers: BTreeMap<Stranger, u64>,
+}
+
+/// Two lives under one name.
+struct Rivals {
+    older: u64,
+    newer: u64,
+    /// When the older was heard first although the newer was known.
+    since: Micros,
+    /// It went on for longer than a datagram may be under way.
+    sure: bool,
+}
+
+/// The fleet as one gateway knows it.
+pub struct Fleet {
+    settings: Settings,
+    tag: u32,
+    swim: Swim,
+    rng: fastrand::Rng,
+    now: Micros,
+    traffic: Traffic,
+    /// When absent gateways are called next, and after how long again.
+    call_at: Option<Micros>,
+    call_step: Micros,
+    /// The other process under this name, once this one has yielded to it.
+    yielded: Option<u64>,
+    /// Names that two processes may send under.
+    rivals: BTreeMap<String, Rivals>,
+    told: BTreeMap<std::rc::Rc<str>, Standing>,
+    farewells: u32,
+    left: bool,
+    /// Where members were heard last.
+    heard_at: BTreeMap<std::rc::Rc<str>, SocketAddr>,
+}
+
+impl Fleet {
+    /// A gateway that knows nobody yet. `unix` is the wall clock's time, which is used for nothing but the
+    /// incarnation; `now`, here and everywhere, is of a clock that never goes back.
+    pub fn new(settings: Settings, now: Micros, unix: Micros, seed: u64) -> Result<Fleet, SettingsError> {
+        settings.check()?;
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let own = Identity::born(&settings.name, settings.about.clone(), unix, rng.u64(..));
+        let swim = Swim::new(own, rng.u64(..), settings.period, LONGEST - frame::OVERHEAD);
+        // Guards against hundreds of gateways that start together and knock in step.
+        let call_at = Some(now + Micros(rng.u64(0..FIRST_CALL.0)));
+        Ok(Fleet {
+            tag: frame::tag(&settings.fleet),
+            settings,
+            swim,
+            rng,
+            now,
+            traffic: Traffic::default(),
+            call_at,
+            call_step: FIRST_CALL,
+            yielded: None,
+            rivals: BTreeMap::new(),
+            told: BTreeMap::new(),
+            farewells: 0,
+            left: false,
+            heard_at: BTreeMap::new(),
+        })
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Effect>) {
+        self.now = self.now.max(now);
+        let mut sends = Vec::new();
+        match event {
+            Event::Datagram(from, bytes) => self.datagram(from, bytes, &mut sends, out),
+            Event::Wake if self.yielded.is_none() => self.wake(&mut sends, out),
+            Event::Wake => {}
+            Event::Leave if self.yielded.is_none() && !self.left => {
+                (self.left, self.farewells) = (true, FAREWELLS);
+                self.swim.leave(&mut sends);
+            }
+            Event::Leave => {}
+            Event::Peers(peers) => {
+                self.settings.peers = peers;
+                (self.call_at, self.call_step) = (Some(self.now), FIRST_CALL);
+            }
+        }
+        self.send(sends, out);
+    }
+
+    /// This process's identity now.
+    pub fn own(&self) -> &Identity {
+        self.swim.own()
+    }
+    /// All others that are known, by name.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.swim.records().values()
+    }
+    /// How many take part, this one among them.
+    pub fn present(&self) -> usize {
+        1 + self.records().filter(|r| r.standing.is_present()).count()
+    }
+    /// Datagrams, bytes and what was dropped.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+    /// The other process that this one has yielded to.
+    pub fn yielded(&self) -> Option<u64> {
+        self.yielded
+    }
+
+    fn wake(&mut self, sends: &mut Vec<Outgoing>, out: &mut Vec<Effect>) {
+        self.swim.wake(self.now, sends);
+        self.meet_rival(sends, out);
+        if self.left {
+            if self.farewells > 0 {
+                self.farewells -= 1;
+                self.swim.repeat(sends);
+            }
+            return;
+        }
+        if self.call_at.is_some_and(|at| at <= self.now) {
+            self.call_absent(sends);
+        }
+        self.tell(out);
+    }
+
+    /// Calls configured gateways that are not present: to join, and to find again those that nobody here knows.
+    fn call_absent(&mut self, sends: &mut Vec<Outgoing>) {
+        let records = self.swim.records();
+        let absent = |name: &&String| {
+            **name != self.settings.name
+                && records.get(name.as_str()).is_none_or(|r| !r.standing.is_present())
+        };
+        let absent: Vec<String> = self.settings.peers.keys().filter(absent).cloned().collect();
+        let alone = self.swim.connected().is_none();
+        let calls = if alone { CALLS } else { 1 };
+        for name in self.rng.choose_multiple(absent.iter(), calls) {
+            self.swim.call(name, sends);
+        }
+        let step = if alone { self.call_step } else { CALL_ABSENT };
+        self.call_step = (self.call_step + self.call_step).min(LONGEST_CALL);
+        if !alone {
+            self.call_step = FIRST_CALL;
+        }
+        self.call_at = Some(self.now + Micros(step.0 / 2 + self.rng.u64(0..step.0)));
+    }
+
+    fn datagram(&mut self, from: SocketAddr, bytes: &[u8], sends: &mut Vec<Outgoing>, out: &mut Vec<Effect>) {
+        let taken = frame::read(self.tag, bytes).and_then(|(head, rest)| {
+            let Head::Swim { on_record, live, doubt } = head;
+            if self.yielded.is_some() || self.left {
+                return Ok(());
+            }
+            if on_record > self.own().incarnation {
+                return self.meet(on_record, live, sends, out);
+            }
+            if let Some(number) = doubt.filter(|_| on_record == self.own().incarnation) {
+                self.swim.doubted(number, sends);
+            }
+            self.swim.datagram(self.now, rest, sends).map_err(|_| Stranger::Refused)
+        });
+        if let Some(sender) = self.swim.sender() {
+            self.hear_at(&sender, from);
+        }
+        self.meet_rival(sends, out);
+        self.watch_rivals(out);
+        match taken {
+            Ok(()) => {
+                self.traffic.heard += 1;
+                self.traffic.heard_bytes += bytes.len() as u64;
+            }
+            Err(stranger) => *self.traffic.strangers.entry(stranger).or_default() += 1,
+        }
+    }
+
+    fn meet_rival(&mut self, sends: &mut Vec<Outgoing>, out: &mut Vec<Effect>) {
+        if let Some((incarnation, live)) = self.swim.rival() {
+            if self.yielded.is_none() && !self.left && incarnation > self.own().incarnation {
+                let _ = self.meet(incarnation, live, sends, out);
+            }
+        }
+    }
+
+    /// Others know a later life under this name. One that is dead, or that this process came after with a
+    /// clock set back, is outlived; to one that lives an established process yields.
+    fn meet(
+        &mut self,
+        incarnation: u64,
+        live: bool,
+        sends: &mut Vec<Outgoing>,
+        out: &mut Vec<Effect>,
+    ) -> Result<(), Stranger> {
+        let established = self.swim.connected().is_some_and(|at| self.now - at >= ESTABLISHED);
+        if live && established {
+            let own = self.own().incarnation;
+            self.yielded = Some(incarnation);
+            out.push(Effect::Tell(Notice::Yielded { own, other: incarnation }));
+        } else {
+            self.swim.outlive(incarnation, sends);
+        }
+        Ok(())
+    }
+
+    /// Tells what changed since it was told last.
+    fn tell(&mut self, out: &mut Vec<Effect>) {
+        for (name, record) in self.swim.records() {
+            if self.told.get(name) != Some(&record.standing) {
+                self.told.insert(name.clone(), record.standing);
+                let (name, standing, why) = (name.to_string(), record.standing, record.why);
+                out.push(Effect::Tell(Notice::Standing { name, standing, why }));
+            }
+        }
+        let records = self.swim.records();
+        self.told.retain(|name, _| records.contains_key(name));
+        self.heard_at.retain(|name, _| records.contains_key(name));
+    }
+
+    /// Where a member's datagrams come from is where it is, if its own word or the map says so too: anybody
+    /// can send a datagram again from elsewhere.
+    fn hear_at(&mut self, sender: &Identity, from: SocketAddr) {
+        let mapped = self.settings.peers.get(&*sender.name) == Some(&from);
+        if mapped || sender.about.advertise == Some(from) {
+            self.heard_at.insert(sender.name.clone(), from);
+        }
+    }
+
+    /// Where to send what is for a member: where it was heard, else where the map has it, else where it says.
+    /// One that is not known to be there is tried at both.
+    fn addresses(&self, to: &Identity) -> impl Iterator<Item = SocketAddr> {
+        // An older life that still sends is answered where it says that it is.
+        let older = |r: &&Record| to.incarnation > 0 && to.incarnation < r.identity.incarnation;
+        let record = self.swim.records().get(&to.name).filter(|r| !older(r));
+        let told = record.map_or(to.about.advertise, |r| r.identity.about.advertise);
+        let mapped = self.settings.peers.get(&*to.name).copied();
+        let known = |at: &&SocketAddr| Some(**at) == mapped || Some(**at) == told;
+        let heard = self.heard_at.get(&to.name).filter(|_| record.is_some()).filter(known).copied();
+        let there = record.is_some_and(|r| r.standing == Standing::Alive);
+        let first = heard.or(mapped).or(told);
+        let other = if first == mapped { told } else { mapped };
+        first.into_iter().chain(other.filter(|at| !there && Some(*at) != first))
+    }
+
+    fn send(&mut self, sends: Vec<Outgoing>, out: &mut Vec<Effect>) {
+        for Outgoing { to, message, doubt } in sends {
+            let (on_record, live) = self.swim.on_record(&to.name);
+            let Some(frame) = frame::write(self.tag, &Head::Swim { on_record, live, doubt }, &message) else {
+                continue;
+            };
+            let addresses: Vec<SocketAddr> = self.addresses(&to).collect();
+            self.traffic.unaddressed += u64::from(addresses.is_empty());
+            for address in addresses {
+                self.traffic.sent += 1;
+                self.traffic.sent_bytes += frame.len() as u64;
+                out.push(Effect::Send(address, frame.clone()));
+            }
+        }
+    }
+
+    /// A life that is not the latest of its name sends. Once may be a datagram that was under way for long; when
+    /// it goes on, two processes live.
+    fn watch_rivals(&mut self, out: &mut Vec<Effect>) {
+        let Some((older, newer)) = self.swim.older() else { return };
+        let now = self.now;
+        if self.rivals.len() >= MOST_MEMBERS {
+            return;
+        }
+        let seen = self.rivals.entry(older.name.to_string()).or_insert(Rivals {
+            older: older.incarnation,
+            newer,
+            since: now,
+            sure: false,
+        });
+        if seen.older != older.incarnation {
+            *seen = Rivals { older: older.incarnation, newer, since: now, sure: false };
+        }
+        if !seen.sure && now - seen.since >= UNDER_WAY {
+            seen.sure = true;
+            let name = older.name.to_string();
+            out.push(Effect::Tell(Notice::Rivals { name, older: older.incarnation, newer }));
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod fleet;
 pub mod net;
 pub mod rules;
 mod settings;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,5 +1,6 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
+use crate::fleet::{self, About};
 use crate::settings::{flatten, Fields, Site};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -104,8 +105,73 @@
     }
 }
 
+/// What the fleet's file says, which `NODE_FLEET` names. Without it a gateway knows of no other.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetDocument {
+    fleet: String,
+    listen: SocketAddr,
+    advertise: Option<SocketAddr>,
+    name: Option<String>,
+    #[serde(default)]
+    zone: String,
+    #[serde(default = "a_second")]
+    period_ms: u64,
+    #[serde(default)]
+    peers: BTreeMap<String, SocketAddr>,
+}
+
+fn a_second() -> u64 {
+    1000
+}
+
+/// This gateway's place in its fleet.
+#[derive(Debug, Clone)]
+pub struct FleetConfig {
+    /// Where other gateways' datagrams come in.
+    pub listen: SocketAddr,
+    /// What the fleet part is told.
+    pub settings: fleet::Settings,
+}
+
+impl FleetConfig {
+    /// Reads the text of a fleet's file, for a gateway whose environment gives this name.
+    pub fn parse(text: &str, name: &str) -> Result<FleetConfig, ConfigError> {
+        let plain = |e: toml::de::Error| {
+            let line =
+                e.span().map_or(1, |span| 1 + text[..span.start.min(text.len())].matches('\n').count());
+            ConfigError(format!("line {line}: {}", e.message().lines().collect::<Vec<_>>().join(" ")))
+        };
+        let document: FleetDocument = toml::from_str(text).map_err(plain)?;
+        let name = document.name.unwrap_or_else(|| name.to_string());
+        let mut peers = document.peers;
+        peers.remove(&name);
+        let about = About {
+            zone: document.zone,
+            version: env!("CARGO_PKG_VERSION").to_string(),
+            capabilities: 0,
+            advertise: document.advertise,
+        };
+        let period = std::time::Duration::from_millis(document.period_ms);
+        let settings = fleet::Settings { fleet: document.fleet, name, about, peers, period };
+        settings.check().map_err(|e| ConfigError(e.0))?;
+        Ok(FleetConfig { listen: document.listen, settings })
+    }
+
+    /// Reads the file that the environment names, if it names one.
+    fn from_environment() -> Result<Option<FleetConfig>, ConfigError> {
+        let Some(path) = env::var_os("NODE_FLEET").map(PathBuf::from) else { return Ok(None) };
+        let told = |e: &dyn fmt::Display| ConfigError(format!("{}: {e}", path.display()));
+        let text = std::fs::read_to_string(&path).map_err(|e| told(&e))?;
+        let name = env::var("NODE_NAME").unwrap_or_default();
+        FleetConfig::parse(&text, &name).map(Some).map_err(|e| told(&e))
+    }
+}
+
 /// All that a gateway is told at its start.
 pub struct Config {
+    /// Its fleet, where it has one.
+    pub(crate) fleet: Option<FleetConfig>,
     pub(crate) name: String,
     pub(crate) listen: SocketAddr,
     pub(crate) discovery: SocketAddr,
@@ -155,12 +221,14 @@
 }
 
 /// What a running gateway takes over from a configuration read again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Services {
     /// Where discovery listens.
     pub discovery: SocketAddr,
     /// Where the counter listens, if there is one.
     pub counter: Option<SocketAddr>,
+    /// Where other gateways listen.
+    pub peers: BTreeMap<String, SocketAddr>,
 }
 
 /// The configuration file's path and text.
@@ -173,7 +241,8 @@
 impl Config {
     /// Where the services are that a gateway asks.
     pub fn services(&self) -> Services {
-        Services { discovery: self.discovery, counter: self.counter }
+        let peers = self.fleet.as_ref().map(|f| f.settings.peers.clone()).unwrap_or_default();
+        Services { discovery: self.discovery, counter: self.counter, peers }
     }
 
     /// Reads the file again. Its addresses count now: the environment is still that of the start.
@@ -182,7 +251,8 @@
         // Where it listens does not change, and may be known from the environment alone.
         let listen = Some(SocketAddr::from(([0, 0, 0, 0], 0)));
         let config = Config::parse(&text, listen, None).map_err(|e| ConfigError(format!("{path}: {e}")))?;
-        Ok(config.services())
+        let fleet = FleetConfig::from_environment()?;
+        Ok(Config { fleet, ..config }.services())
     }
 
     /// Reads the environment and the file that it names.
@@ -204,8 +274,9 @@
         };
         let folder = env::var_os("TMPDIR").map(PathBuf::from);
         let name = env::var("NODE_NAME").unwrap_or_default();
+        let fleet = FleetConfig::from_environment()?;
         Config::parse(&text, address("NODE_LISTEN")?, address("NODE_DISCOVERY")?)
-            .map(|c| Config { name, ops: ops.or(c.ops), accept_fd, folder, ..c })
+            .map(|c| Config { fleet, name, ops: ops.or(c.ops), accept_fd, folder, ..c })
             .map_err(|e| ConfigError(format!("{path}: {e}")))
     }
 
@@ -233,6 +304,7 @@
             return Err(missing("counter"));
         }
         Ok(Config {
+            fleet: None,
             name: String::new(),
             listen: listen.or(document.listen).ok_or_else(|| missing("listen"))?,
             discovery: discovery.or(document.discovery).ok_or_else(|| missing("discovery"))?,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 mod inherit;
 pub mod memory;
 pub mod ops;
+pub mod peers;
 pub mod server;
 mod share;
 mod sparing;
@@ -26,9 +27,12 @@
 use handover::Succession;
 use memory::Memory;
 use ops::Desk;
+use peers::Peers;
 use server::Front;
 use share::Share;
 use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -40,7 +44,7 @@
     /// Its configuration makes no sense.
     Config(ConfigError),
     /// It could not listen.
-    Listen(std::net::SocketAddr, std::io::Error),
+    Listen(SocketAddr, std::io::Error),
     /// Its driver ended.
     Driver,
 }
@@ -74,6 +78,19 @@
     }
 }
 
+/// Passes on where other gateways listen, when that changes.
+async fn follow_peers(
+    mut services: watch::Receiver<Services>,
+    tell: watch::Sender<BTreeMap<String, SocketAddr>>,
+) {
+    while services.changed().await.is_ok() {
+        let peers = services.borrow_and_update().peers.clone();
+        tell.send_if_modified(|held| std::mem::replace(held, peers.clone()) != peers);
+    }
+    // Whoever listens takes an end for the end of the gateway.
+    std::future::pending::<()>().await;
+}
+
 /// Runs a gateway until `stopping` turns true and all that it took is answered. It asks discovery and the
 /// counter at the addresses that `services` holds last.
 pub async fn run(
@@ -96,6 +113,7 @@
     let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
     let (gateways, most_units) = (config.site.settings.gateways, config.site.settings.most_units);
     let name = config.name.clone();
+    let peers = config.fleet.clone().map(|fleet| Peers::new(fleet, clock, duty.clone()));
     let memory = Rc::new(Memory::new(config.memory_mb, config.sockets));
     let (driver, orders) = Driver::new(config, clock, duty.clone(), figures.clone(), memory.clone())
         .map_err(RunError::Config)?;
@@ -106,11 +124,21 @@
     };
     let listener = listener.map_err(|e| RunError::Listen(listen, e))?;
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
+    if let Some(peers) = &peers {
+        // A process that takes another's place opens the fleet's socket once that one has let go of it.
+        let opened = match accept_fd {
+            Some(_) => None,
+            None => Some(peers.open().await.map_err(|e| RunError::Listen(peers.listen(), e))?),
+        };
+        let (tell, elsewhere) = watch::channel(services.borrow().peers.clone());
+        tokio::task::spawn_local(follow_peers(services.clone(), tell));
+        tokio::task::spawn_local(peers.clone().run(opened, elsewhere));
+    }
     if let Some(ops) = ops {
         let listener = TcpListener::bind(ops).await.map_err(|e| RunError::Listen(ops, e))?;
         let ops = listener.local_addr().map_err(|e| RunError::Listen(ops, e))?;
         info!(%ops, "operators");
-        let desk = Desk { orders: orders.clone(), figures: figures.clone(), duty: duty.clone() };
+        let desk = Desk { orders: orders.clone(), figures: figures.clone(), duty: duty.clone(), peers };
         tokio::task::spawn_local(ops::serve(listener, Rc::new(desk)));
     }
     info!(name, %address, "listening");
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -5,6 +5,7 @@
 use super::drain::Duty;
 use super::driver::{Control, Orders};
 use super::figures::Figures;
+use super::peers::Peers;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -42,6 +43,8 @@
     pub figures: Rc<Figures>,
     /// Whether the gateway serves, drains or ends.
     pub duty: Rc<Duty>,
+    /// The fleet, where the gateway has one.
+    pub peers: Option<Rc<Peers>>,
 }
 
 /// Answers operators for ever.
@@ -92,9 +95,19 @@
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
         ["stats"] if reading => match ask(desk, Control::Fleet).await {
-            Some(fleet) => text(StatusCode::OK, desk.figures.text(fleet)),
+            Some(fleet) => {
+                let gauges = desk.peers.as_ref().map(|peers| peers.gauges()).unwrap_or_default();
+                text(StatusCode::OK, desk.figures.text(fleet) + &gauges)
+            }
             None => late(),
         },
+        ["fleet"] if reading && desk.peers.is_some() => {
+            match desk.peers.as_ref().and_then(|peers| peers.report()) {
+                Some(report) => json(report),
+                None => plain(StatusCode::SERVICE_UNAVAILABLE, "not in the fleet now\n"),
+            }
+        }
+        ["fleet"] if desk.peers.is_some() => not_allowed("GET, HEAD"),
         ["backends", id, order @ ("maint" | "ready")] if posting => {
             let (id, out) = (id.to_string(), *order == "maint");
             info!(id, order, "an operator's order");
@@ -132,6 +145,12 @@
     response
 }
 
+fn json(text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 fn plain(status: StatusCode, words: &'static str) -> Response<Full<Bytes>> {
     text(status, words)
 }
