Let the share of the local bucket follow the living, by leases that need no clock

Need: with the counter silent and gateways dead, their shares of every quota lie unused; no gateway can tell dead from cut off.

Change: members say of every seat whether it is held or free; words travel in answers only and carry their age; majorities of all seats decide, and a member waits longer than a word counts before it says the opposite. The numbered view, its digest and the agreement come with it. The module takes it as one fact (Event::Lent) and weighs it for the gateways that a customer comes through. Nothing of it without `seats` and `lend` in the fleet's file.

--- a/lab/src/members/world.rs
+++ b/lab/src/members/world.rs
@@ -2,7 +2,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use starlinghill::fleet::{About, Effect, Event, Fleet, Micros, Notice, Settings, WAKE};
+use starlinghill::fleet::{About, Effect, Event, Fleet, Micros, Notice, Settings, Shares, WAKE};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -47,6 +47,8 @@
     backlog: Vec<(SocketAddr, Vec<u8>)>,
     /// What its wall clock is behind by.
     behind: Micros,
+    /// The shares as its module was told last; a paused process has them still.
+    shares: Shares,
     /// What it was told of the others' addresses.
     peers: BTreeMap<String, SocketAddr>,
 }
@@ -87,6 +89,8 @@
     pub weather: Weather,
     rng: ChaCha8Rng,
     nodes: Vec<Node>,
+    /// The seats, where shares are lent.
+    pub seats: Vec<String>,
     at: HashMap<SocketAddr, usize>,
     queue: BinaryHeap<Reverse<Due>>,
     serial: u64,
@@ -118,6 +122,7 @@
             paused: false,
             backlog: Vec::new(),
             behind: Micros(0),
+            shares: Shares::default(),
             peers: peers.clone(),
         });
         World {
@@ -125,6 +130,7 @@
             weather: Weather::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             nodes: nodes.collect(),
+            seats: Vec::new(),
             at: (0..count).map(|i| (address(i, 7946), i)).collect(),
             queue: BinaryHeap::new(),
             serial: 0,
@@ -174,6 +180,7 @@
             paused: false,
             backlog: Vec::new(),
             behind: Micros(0),
+            shares: Shares::default(),
             peers,
         });
         node
@@ -220,10 +227,11 @@
             about,
             peers: n.peers.clone(),
             period: Duration::from_secs(1),
+            seats: self.seats.clone(),
         };
         let unix = Micros(UNIX) + now - n.behind;
         n.fleet = Some(Fleet::new(settings, now, unix, random).expect("sound settings"));
-        (n.paused, n.life) = (false, n.life + 1);
+        (n.paused, n.life, n.shares) = (false, n.life + 1, Shares::default());
         n.backlog.clear();
         let life = n.life;
         let first = now + Micros(self.rng.random_range(0..WAKE.0));
@@ -233,7 +241,7 @@
     /// Ends a process without a word.
     pub fn kill(&mut self, node: usize) {
         let n = &mut self.nodes[node];
-        (n.fleet, n.paused) = (None, false);
+        (n.fleet, n.paused, n.shares) = (None, false, Shares::default());
         n.backlog.clear();
     }
 
@@ -298,6 +306,7 @@
                 Effect::Send(address, bytes) => self.send(node, address, bytes),
                 Effect::Tell(notice) if self.listens => self.notices.push((self.now, node, notice)),
                 Effect::Tell(_) => {}
+                Effect::Shares(shares) => self.nodes[node].shares = shares,
             }
         }
         self.effects = effects;
@@ -358,6 +367,21 @@
         self.run_until(self.now + span);
     }
 
+    /// The lent parts that are in force now for a customer that comes through these seats, in parts of one: each
+    /// seat's own, and what it has of those that are away. Two processes of one seat both count.
+    pub fn in_force(&self, through: &[usize]) -> f64 {
+        let spread = through.len() as f64;
+        let share = |node: &Node| {
+            let away = node.shares.away.iter().filter(|s| through.contains(&(**s as usize))).count();
+            1.0 / (spread - away as f64)
+        };
+        let used = |node: &&Node| {
+            let seat = self.seats.iter().position(|seat| *seat == node.name);
+            seat.is_some_and(|seat| through.contains(&seat)) && self.now < node.shares.until
+        };
+        self.nodes.iter().filter(used).map(share).sum()
+    }
+
     /// Whether all that run hold exactly each other to be present.
     pub fn is_one(&self) -> bool {
         let awake = self.awake();
--- a/lab/src/scenario/parts.rs
+++ b/lab/src/scenario/parts.rs
@@ -191,6 +191,8 @@
     pub sockets: usize,
     /// They reach each other over UDP: each gets relay addresses of its own for all others.
     pub peers: bool,
+    /// The part of each gateway's share of the quotas that the fleet's file lets it lend, 0 to 1.
+    pub lend: f64,
     /// Further environment. `{name}`, `{zone}`, `{folder}`, `{peers}` (the fleet's file, as `NODE_FLEET` takes it) and
     /// `{peer_listen}` stand for this gateway's own.
     pub env: BTreeMap<String, String>,
@@ -205,6 +207,7 @@
             memory_mb: 192.0,
             sockets: 1024,
             peers: false,
+            lend: 0.0,
             env: BTreeMap::new(),
             second: Vec::new(),
         }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -493,7 +493,12 @@
             others.map(|(other, address)| format!("g{other} = \"{address}\"\n")).collect();
         listen = mesh.own[number].to_string();
         let zone = &scenario.net.zones[number % scenario.zones()];
-        let head = format!("fleet = \"lab\"\nlisten = \"{listen}\"\nzone = \"{zone}\"\n");
+        let seats: Vec<String> = (0..mesh.own.len()).map(|gateway| format!("\"g{gateway}\"")).collect();
+        let head = format!(
+            "fleet = \"lab\"\nlisten = \"{listen}\"\nzone = \"{zone}\"\nlend = {}\nseats = [{}]\n",
+            scenario.gateways.lend,
+            seats.join(", ")
+        );
         std::fs::write(&peers, format!("{head}\n[peers]\n{}", lines.concat()))?;
     }
     let folder = |path: &Path| path.display().to_string();
--- a/lab/tests/members.rs
+++ b/lab/tests/members.rs
@@ -1,8 +1,9 @@
 //! Membership under virtual time: properties over random faults, and the hard cases by themselves.
 
 use proptest::prelude::*;
-use starlinghill::fleet::{Micros, Notice, Standing};
+use starlinghill::fleet::{Agreement, Micros, Notice, Standing};
 use starlinghill_lab::members::world::{seconds, Weather, World};
+use std::collections::BTreeMap;
 
 /// A fault, and how long after the one before it comes, in tenths of a second.
 #[derive(Debug, Clone)]
@@ -129,6 +130,93 @@
     }
 }
 
+/// Checks, at this moment, what must hold at every one: shares in force sum to one at most for every set of
+/// seats in a row, and nobody stands on two agreed views by one number.
+fn hold_the_shares(world: &World, members: usize) {
+    for spread in 2..=members {
+        for first in 0..members {
+            let through: Vec<usize> = (0..spread).map(|i| (first + i) % members).collect();
+            let sum = world.in_force(&through);
+            assert!(sum <= 1.0 + 1e-9, "{sum} in force at {} s through {through:?}", world.now.secs());
+        }
+    }
+    let mut agreed: BTreeMap<u64, String> = BTreeMap::new();
+    for view in world.awake().into_iter().filter_map(|i| world.fleet(i)?.report().view) {
+        if view.agreement == Agreement::Agreed {
+            let digest = agreed.entry(view.number).or_insert_with(|| view.digest.clone());
+            assert_eq!(*digest, view.digest, "two agreed views by number {}", view.number);
+        }
+    }
+}
+
+fn run_holding(world: &mut World, members: usize, span: Micros) {
+    let end = world.now + span;
+    while world.now < end {
+        let step = Micros(100_000).min(end - world.now);
+        world.run_for(step);
+        hold_the_shares(world, members);
+    }
+}
+
+fn lending(members: usize, seed: u64) -> World {
+    let mut world = World::new(members, seed);
+    world.seats = (0..members).map(|i| format!("g{i}")).collect();
+    (0..members).for_each(|i| world.start(i));
+    world
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, max_shrink_iters: 100, failure_persistence: Some(Box::new(
+        proptest::test_runner::FileFailurePersistence::WithSource("regressions"),
+    )), ..ProptestConfig::default() })]
+
+    /// Whatever happens, the shares in force never sum to more than one; afterwards they sum to one again.
+    #[test]
+    fn shares_in_force_never_sum_to_more_than_one((members, seed, faults) in plan()) {
+        let mut world = lending(members, seed);
+        run_holding(&mut world, members, seconds(16.0));
+        for (tenths, fault) in &faults {
+            run_holding(&mut world, members, Micros(u64::from(*tenths) * 200_000));
+            strike(&mut world, members, fault);
+            hold_the_shares(&world, members);
+        }
+        world.heal();
+        world.weather = Weather::default();
+        (0..members).for_each(|i| world.pause(i, false));
+        (0..members).filter(|i| world.fleet(*i).is_none()).collect::<Vec<_>>().into_iter().for_each(|i| world.start(i));
+        run_holding(&mut world, members, seconds(45.0));
+        let all: Vec<usize> = (0..members).collect();
+        prop_assert!((world.in_force(&all) - 1.0).abs() < 1e-9, "{} in force at last", world.in_force(&all));
+    }
+}
+
+#[test]
+fn the_living_have_the_shares_of_the_dead_until_they_are_back() {
+    let mut world = lending(10, 21);
+    world.run_for(seconds(30.0));
+    let all: Vec<usize> = (0..10).collect();
+    assert!((world.in_force(&all) - 1.0).abs() < 1e-9);
+    (0..3).for_each(|i| world.kill(i));
+    world.run_for(seconds(1.0));
+    assert!((world.in_force(&all) - 0.7).abs() < 1e-9, "nobody has them yet");
+    run_holding(&mut world, 10, seconds(24.0));
+    assert!((world.in_force(&all) - 1.0).abs() < 1e-9, "{}", world.in_force(&all));
+    (0..3).for_each(|i| world.start(i));
+    run_holding(&mut world, 10, seconds(30.0));
+    assert!((world.in_force(&all) - 1.0).abs() < 1e-9, "{}", world.in_force(&all));
+    // A minority has nothing that is lent; the others have it all.
+    world.split(&[vec![0, 1, 2], (3..10).collect()]);
+    run_holding(&mut world, 10, seconds(30.0));
+    let agreement =
+        |world: &World, i: usize| world.fleet(i).and_then(|f| f.report().view).map(|v| v.agreement);
+    assert_eq!(agreement(&world, 0), Some(Agreement::Minority));
+    assert_eq!(agreement(&world, 5), Some(Agreement::Majority));
+    assert!((world.in_force(&all) - 1.0).abs() < 1e-9, "{}", world.in_force(&all));
+    world.heal();
+    run_holding(&mut world, 10, seconds(30.0));
+    assert!((0..10).all(|i| agreement(&world, i) == Some(Agreement::Agreed)));
+}
+
 fn downs(world: &World) -> Vec<String> {
     let down = |(_, node, n): &(Micros, usize, Notice)| match n {
         Notice::Standing { name, standing: Standing::Down, .. } => Some(format!("{} by g{node}", name)),
--- a/src/api.rs
+++ b/src/api.rs
@@ -263,6 +263,8 @@
     pub customer: CustomerId,
     /// Through how many gateways this customer's requests come.
     pub spread: u32,
+    /// The first of them; the others follow it in number, and after the last comes number 0.
+    pub first: u32,
     /// The client gives up then.
     pub deadline: Micros,
     /// Its units.
@@ -294,6 +296,18 @@
     pub report: Report,
 }
 
+/// Shares of quotas that are lent: a gateway's own, while it can't show that it is still held to be there, and
+/// those of gateways that are away. Everywhere together they sum to one at most.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Lent {
+    /// The part of each share that may be lent, 0 to 1.
+    pub part: f64,
+    /// The own share is whole, and those of `away` are shared out, until then.
+    pub until: Micros,
+    /// Numbers of gateways whose shares are shared out.
+    pub away: Vec<u32>,
+}
+
 /// What a gateway is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -322,6 +336,8 @@
     Maintenance(ServerId, bool),
     /// The other process of this gateway is gone.
     Alone,
+    /// What the gateways know together of each other's shares.
+    Lent(Lent),
 }
 
 /// What a gateway does.
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here is secret: the checksum tells accidents from messages, not friends from foes.
 
+use super::census::Table;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -27,6 +28,22 @@
         /// The sender holds the receiver, as it told of itself last by this number, for a suspect.
         doubt: Option<u16>,
     },
+    /// Asks for all words on the seats.
+    Ask {
+        /// What stands for the asker's list of seats.
+        list: u64,
+        /// Comes back with the answer.
+        token: u64,
+    },
+    /// Answers that.
+    Words {
+        /// What stands for the answerer's list of seats.
+        list: u64,
+        /// The question's.
+        token: u64,
+        /// The words.
+        table: Table,
+    },
 }
 
 /// Why a datagram was dropped.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,20 +3,29 @@
 //! No I/O, no clock, no global randomness: events in, effects out, time and seeds passed in. `net::peers` holds
 //! the socket. `docs/decisions/0001-membership.md` says why it is so.
 
+mod census;
+mod custody;
 mod frame;
 mod health;
 mod identity;
+mod lending;
 mod report;
 mod swim;
+mod view;
 
 pub use crate::api::Micros;
+pub use census::VALID;
+pub use custody::{Shares, WAIT};
 pub use frame::{Stranger, LONGEST};
 pub use health::WAKE;
 pub use identity::{is_name, About, Identity, LONGEST_NAME};
+pub use lending::{Agreement, ViewReport};
 pub use report::{MemberReport, Report};
 pub use swim::{Record, Standing, MOST_MEMBERS};
+pub use view::MOST_SEATS;
 
 use frame::Head;
+use lending::Lending;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -49,6 +58,9 @@
     pub peers: BTreeMap<String, SocketAddr>,
     /// How often a member is probed.
     pub period: Duration,
+    /// The names of all gateways in the order of their numbers, the same at each; none: no view is agreed on and
+    /// no share is lent.
+    pub seats: Vec<String>,
 }
 
 /// Settings that no fleet can have.
@@ -81,6 +93,16 @@
         if self.peers.len() >= MOST_MEMBERS {
             return fail(format!("peers: expected fewer than {MOST_MEMBERS}, found {}", self.peers.len()));
         }
+        self.seats.iter().try_for_each(|seat| name("seats", seat))?;
+        if !self.seats.is_empty() && !self.seats.contains(&self.name) {
+            return fail(format!("seats: expected this gateway's name '{}' among them", self.name));
+        }
+        if self.seats.len() > MOST_SEATS {
+            return fail(format!("seats: expected at most {MOST_SEATS}, found {}", self.seats.len()));
+        }
+        if self.seats.iter().collect::<std::collections::BTreeSet<_>>().len() < self.seats.len() {
+            return fail("seats: expected each name once".into());
+        }
         if !(Duration::from_millis(100)..=Duration::from_secs(60)).contains(&self.period) {
             return fail(format!("period: expected 0.1 s to 60 s, found {:?}", self.period));
         }
@@ -108,6 +130,8 @@
     Send(SocketAddr, Vec<u8>),
     /// A line for the log.
     Tell(Notice),
+    /// The shares are so from now on.
+    Shares(Shares),
 }
 
 /// What people should hear of.
@@ -187,6 +211,8 @@
     left: bool,
     /// Where members were heard last.
     heard_at: BTreeMap<std::rc::Rc<str>, SocketAddr>,
+    /// The seats, where the settings name them.
+    lending: Option<Lending>,
 }
 
 impl Fleet {
@@ -199,6 +225,7 @@
         let swim = Swim::new(own, rng.u64(..), settings.period, LONGEST - frame::OVERHEAD);
         // Guards against hundreds of gateways that start together and knock in step.
         let call_at = Some(now + Micros(rng.u64(0..FIRST_CALL.0)));
+        let lending = Lending::new(&settings.seats, &settings.name, now, rng.u64(..));
         Ok(Fleet {
             tag: frame::tag(&settings.fleet),
             settings,
@@ -214,6 +241,7 @@
             farewells: 0,
             left: false,
             heard_at: BTreeMap::new(),
+            lending,
         })
     }
 
@@ -273,6 +301,48 @@
             self.call_absent(sends);
         }
         self.tell(out);
+        self.lend(out);
+    }
+
+    /// Says what this member knows of the seats, asks another for its words, and tells what follows.
+    fn lend(&mut self, out: &mut Vec<Effect>) {
+        let Some(lending) = self.lending.as_mut() else { return };
+        let own = self.swim.own().incarnation;
+        lending.update(self.now, own, self.swim.records());
+        out.extend(lending.news(self.now, own).map(Effect::Shares));
+        let (list, token) = (lending.list(), lending.ask(self.now, self.rng.u64(..)));
+        let present = self.swim.records().values().filter(|r| r.standing.is_present());
+        let present: Vec<&Identity> = present.map(|r| &r.identity).collect();
+        let Some((token, to)) = token.zip(self.rng.choice(present)) else { return };
+        if let (Some(to), Some(frame)) =
+            (self.addresses(to).next(), frame::write(self.tag, &Head::Ask { list, token }, &[]))
+        {
+            self.send_frame(to, frame, out);
+        }
+    }
+
+    /// Answers a question for all words.
+    fn answer(
+        &mut self,
+        to: SocketAddr,
+        list: u64,
+        token: u64,
+        out: &mut Vec<Effect>,
+    ) -> Result<(), Stranger> {
+        let now = self.now;
+        let Some(lending) = self.lending.as_mut() else { return Ok(()) };
+        let Some(table) = lending.answer(list, now) else { return Ok(()) };
+        let head = Head::Words { list: lending.list(), token, table };
+        if let Some(frame) = frame::write(self.tag, &head, &[]) {
+            self.send_frame(to, frame, out);
+        }
+        Ok(())
+    }
+
+    fn send_frame(&mut self, to: SocketAddr, frame: Vec<u8>, out: &mut Vec<Effect>) {
+        self.traffic.sent += 1;
+        self.traffic.sent_bytes += frame.len() as u64;
+        out.push(Effect::Send(to, frame));
     }
 
     /// Calls configured gateways that are not present: to join, and to find again those that nobody here knows.
@@ -298,10 +368,17 @@
 
     fn datagram(&mut self, from: SocketAddr, bytes: &[u8], sends: &mut Vec<Outgoing>, out: &mut Vec<Effect>) {
         let taken = frame::read(self.tag, bytes).and_then(|(head, rest)| {
-            let Head::Swim { on_record, live, doubt } = head;
             if self.yielded.is_some() || self.left {
                 return Ok(());
             }
+            let (on_record, live, doubt) = match head {
+                Head::Swim { on_record, live, doubt } => (on_record, live, doubt),
+                Head::Ask { list, token } => return self.answer(from, list, token, out),
+                Head::Words { list, token, table } => {
+                    let learnt = self.lending.as_mut().is_some_and(|l| l.learn(list, token, &table));
+                    return if learnt { Ok(()) } else { Err(Stranger::Refused) };
+                }
+            };
             if on_record > self.own().incarnation {
                 return self.meet(on_record, live, sends, out);
             }
@@ -345,6 +422,9 @@
         if live && established {
             let own = self.own().incarnation;
             self.yielded = Some(incarnation);
+            if self.lending.take().is_some() {
+                out.push(Effect::Shares(Shares::default()));
+            }
             out.push(Effect::Tell(Notice::Yielded { own, other: incarnation }));
         } else {
             self.swim.outlive(incarnation, sends);
@@ -400,9 +480,7 @@
             let addresses: Vec<SocketAddr> = self.addresses(&to).collect();
             self.traffic.unaddressed += u64::from(addresses.is_empty());
             for address in addresses {
-                self.traffic.sent += 1;
-                self.traffic.sent_bytes += frame.len() as u64;
-                out.push(Effect::Send(address, frame.clone()));
+                self.send_frame(address, frame.clone(), out);
             }
         }
     }
--- a/src/fleet/report.rs
+++ b/src/fleet/report.rs
@@ -1,6 +1,6 @@
 //! What operators read of the fleet.
 
-use super::{Fleet, Standing, Stranger};
+use super::{Fleet, Standing, Stranger, ViewReport};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -42,6 +42,8 @@
     pub health: u32,
     /// How often its loop was found late, and the longest time, in milliseconds.
     pub late: (u64, u64),
+    /// The view and the shares, where the settings name the seats.
+    pub view: Option<ViewReport>,
     /// Gateways that take part, this one among them.
     pub present: usize,
     /// Datagrams and bytes heard and sent.
@@ -84,6 +86,10 @@
                 .collect(),
             health: health.score(),
             late: (health.late, health.longest.0 / 1000),
+            view: self
+                .lending
+                .as_ref()
+                .map(|l| l.report(self.now, self.own().incarnation, self.swim.records())),
             present: self.present(),
             heard: (self.traffic.heard, self.traffic.heard_bytes),
             sent: (self.traffic.sent, self.traffic.sent_bytes),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -118,6 +118,10 @@
     #[serde(default = "a_second")]
     period_ms: u64,
     #[serde(default)]
+    seats: Vec<String>,
+    #[serde(default)]
+    lend: f64,
+    #[serde(default)]
     peers: BTreeMap<String, SocketAddr>,
 }
 
@@ -130,6 +134,8 @@
 pub struct FleetConfig {
     /// Where other gateways' datagrams come in.
     pub listen: SocketAddr,
+    /// The part of each share that may be lent; 0: shares are fixed.
+    pub lend: f64,
     /// What the fleet part is told.
     pub settings: fleet::Settings,
 }
@@ -153,9 +159,13 @@
             advertise: document.advertise,
         };
         let period = std::time::Duration::from_millis(document.period_ms);
-        let settings = fleet::Settings { fleet: document.fleet, name, about, peers, period };
+        let settings =
+            fleet::Settings { fleet: document.fleet, name, about, peers, period, seats: document.seats };
         settings.check().map_err(|e| ConfigError(e.0))?;
-        Ok(FleetConfig { listen: document.listen, settings })
+        if !(0.0..=1.0).contains(&document.lend) || document.lend > 0.0 && settings.seats.is_empty() {
+            return Err(ConfigError("lend: expected 0 to 1, and seats where it is above 0".into()));
+        }
+        Ok(FleetConfig { listen: document.listen, lend: document.lend, settings })
     }
 
     /// Reads the file that the environment names, if it names one.
@@ -275,9 +285,24 @@
         let folder = env::var_os("TMPDIR").map(PathBuf::from);
         let name = env::var("NODE_NAME").unwrap_or_default();
         let fleet = FleetConfig::from_environment()?;
-        Config::parse(&text, address("NODE_LISTEN")?, address("NODE_DISCOVERY")?)
+        let config = Config::parse(&text, address("NODE_LISTEN")?, address("NODE_DISCOVERY")?)
             .map(|c| Config { fleet, name, ops: ops.or(c.ops), accept_fd, folder, ..c })
-            .map_err(|e| ConfigError(format!("{path}: {e}")))
+            .map_err(|e| ConfigError(format!("{path}: {e}")))?;
+        config.check_seats()?;
+        Ok(config)
+    }
+
+    /// The seats of the fleet are the gateways in the order of their numbers, or lent shares would be others'.
+    fn check_seats(&self) -> Result<(), ConfigError> {
+        let Some(fleet) = self.fleet.as_ref().filter(|f| !f.settings.seats.is_empty()) else { return Ok(()) };
+        let (seats, set) = (&fleet.settings.seats, &self.site.settings);
+        if seats.len() != set.gateways as usize || seats.get(set.me as usize) != Some(&fleet.settings.name) {
+            return Err(ConfigError(format!(
+                "seats: expected the names of all {} gateways by their numbers, this one's as number {}",
+                set.gateways, set.me
+            )));
+        }
+        Ok(())
     }
 
     /// Reads a configuration; addresses from the environment go before its own.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -107,6 +107,8 @@
     Members(MemberList),
     /// Calls to the counter go to this address from now on.
     Counter(SocketAddr),
+    /// What the gateways know together of each other's shares.
+    Lent(Lent),
     /// A call to the counter ended.
     Counted(CountName, u64, Counted),
     /// An attempt ended: its request, number and backend, how, and how long it was out.
@@ -206,7 +208,7 @@
         figures: Rc<Figures>,
         memory: Rc<Memory>,
     ) -> Result<(Driver, Orders), ConfigError> {
-        let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, .. } = config;
+        let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, fleet, .. } = config;
         let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
         let (inbox, inputs) = mpsc::channel(INBOX);
         let (ordering, orders) = mpsc::channel(ORDERS);
@@ -236,6 +238,11 @@
             duty,
             ready_at: None,
         };
+        // Where shares are lent, this gateway's may be with others until it is known not to be.
+        let part = fleet.map_or(0.0, |fleet| fleet.lend);
+        if part > 0.0 {
+            driver.batch.push(Event::Lent(Lent { part, ..Lent::default() }));
+        }
         // It may be old, but it is what there is until discovery speaks, which is waited for a little.
         if !known.members.is_empty() {
             driver.members(MemberList { complete: true, ..known });
@@ -388,6 +395,7 @@
                 // Calls under way end where they were made.
                 self.counter = self.counter.take().map(|counter| Rc::new(counter.moved(address)));
             }
+            Input::Lent(lent) => self.batch.push(Event::Lent(lent)),
             Input::Counted(name, serial, counted) => {
                 let ready = self.order.answered(name, serial, counted);
                 self.batch.extend(ready.into_iter().map(|c| Event::Counted(name, c.outcome, c.total)));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -113,11 +113,12 @@
     let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
     let (gateways, most_units) = (config.site.settings.gateways, config.site.settings.most_units);
     let name = config.name.clone();
-    let peers = config.fleet.clone().map(|fleet| Peers::new(fleet, clock, duty.clone()));
+    let fleet = config.fleet.clone();
     let memory = Rc::new(Memory::new(config.memory_mb, config.sockets));
     let (driver, orders) = Driver::new(config, clock, duty.clone(), figures.clone(), memory.clone())
         .map_err(RunError::Config)?;
     let inbox = driver.inbox();
+    let peers = fleet.map(|fleet| Peers::new(fleet, clock, duty.clone(), inbox.clone()));
     let listener = match accept_fd {
         Some(number) => inherit::listener(number).and_then(TcpListener::from_std),
         None => TcpListener::bind(listen).await,
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -2,8 +2,11 @@
 
 use super::config::FleetConfig;
 use super::drain::{Duty, End};
-use super::driver::Clock;
-use crate::fleet::{Effect, Event, Fleet, Micros, Notice, Report, Standing, LONGEST, WAKE};
+use super::driver::{tell, Clock, Inbox, Input};
+use crate::api::Lent;
+use crate::fleet::{
+    Agreement, Effect, Event, Fleet, Micros, Notice, Report, Shares, Standing, LONGEST, WAKE,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -29,6 +32,7 @@
     config: FleetConfig,
     clock: Clock,
     duty: Rc<Duty>,
+    inbox: Inbox,
     fleet: RefCell<Option<Fleet>>,
     /// Datagrams that the kernel did not take.
     unsent: Cell<u64>,
@@ -36,8 +40,8 @@
 
 impl Peers {
     /// For a gateway whose configuration names a fleet.
-    pub fn new(config: FleetConfig, clock: Clock, duty: Rc<Duty>) -> Rc<Peers> {
-        Rc::new(Peers { config, clock, duty, fleet: RefCell::new(None), unsent: Cell::new(0) })
+    pub fn new(config: FleetConfig, clock: Clock, duty: Rc<Duty>, inbox: Inbox) -> Rc<Peers> {
+        Rc::new(Peers { config, clock, duty, inbox, fleet: RefCell::new(None), unsent: Cell::new(0) })
     }
 
     /// Where the socket is.
@@ -71,6 +75,14 @@
         line("down", standing(Standing::Down));
         line("left", standing(Standing::Left));
         line("yielded", u64::from(report.yielded_to.is_some()));
+        if let Some(view) = &report.view {
+            line("view.number", view.number);
+            line("view.holding", view.holding.0 as u64);
+            line("view.heard", view.holding.1 as u64);
+            line("view.agreed", u64::from(view.agreement == Agreement::Agreed));
+            line("share.for_ms", view.share_for_ms);
+            line("share.away", view.away.len() as u64);
+        }
         line("rivals", report.rivals.len() as u64);
         line("health", u64::from(report.health));
         line("late", report.late.0);
@@ -197,6 +209,10 @@
                     self.unsent.set(self.unsent.get() + u64::from(unsent));
                 }
                 Effect::Tell(notice) => log(&notice),
+                Effect::Shares(Shares { until, away }) if self.config.lend > 0.0 => {
+                    tell(&self.inbox, Input::Lent(Lent { part: self.config.lend, until, away }));
+                }
+                Effect::Shares(_) => {}
             }
         }
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -396,11 +396,11 @@
         let customer = query.and_then(customer).ok_or_else(|| bad("customer: expected 16 hex digits\n"))?;
         let budget = text(BUDGET).and_then(|v| v.parse::<u64>().ok());
         let budget = budget.ok_or_else(|| bad("X-Budget-Ms: expected whole milliseconds\n"))?;
-        let (units, spread) = named("x-quota")
+        let (units, spread, first) = named("x-quota")
             .and_then(quota)
             .filter(|quota| quota.units <= front.most_units)
             .filter(|quota| quota.spread <= front.gateways && quota.first < front.gateways)
-            .map(|quota| (quota.units, quota.spread))
+            .map(|quota| (quota.units, quota.spread, quota.first))
             .ok_or_else(|| bad("X-Quota: expected the units, spread and first of this site\n"))?;
         let mut ids = headers.get_all("x-call-id").iter();
         if ids.next().is_none_or(|id| id.is_empty()) || ids.next().is_some() {
@@ -422,6 +422,7 @@
             plan: *plan,
             customer,
             spread,
+            first,
             units,
             resent: named("x-again") == Some("1"),
             ..Arrival::default()
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -143,6 +143,9 @@
     usual_worth: f64,
     serial: u64,
     role: Role,
+    /// Shares that are lent among the gateways, where they are, and how often that has changed.
+    lent: Option<Lent>,
+    turn: u64,
 }
 
 impl Gateway {
@@ -177,6 +180,7 @@
             Event::AttemptEnded(end) => self.on_attempt(end),
             Event::Maintenance(server, out) => self.on_maintenance(server, out),
             Event::Alone => self.on_alone(),
+            Event::Lent(lent) => self.on_lent(lent),
         }
         out.append(&mut self.out);
     }
@@ -258,7 +262,7 @@
             // the customer came only now: with many gateways most see it for the first time.
             c.beyond.at = self.since.unwrap_or(now).max(now - FORGET);
         }
-        (c.plan, c.spread, c.used) = (plan, f64::from(a.spread.max(1)), now);
+        (c.plan, c.spread, c.first, c.used) = (plan, f64::from(a.spread.max(1)), a.first, now);
         // Where clients do not mark repeats: the like of what was refused here a moment ago.
         let alike = |r: &Refusal| r.class == a.class && r.units == a.units && now < r.at + REPEAT_SPAN;
         let resent = a.resent || c.refused.as_ref().is_some_and(alike);
@@ -523,18 +527,51 @@
         let elder = self.role == Role::Elder;
         let Some(c) = self.customers.get(&customer).filter(|_| !elder) else { return false };
         let left = self.room(customer, c.window.known()).max(0.0);
-        let Some(c) = self.customers.get_mut(&customer) else { return false };
+        let Some(c) = self.customers.get(&customer) else { return false };
         // Half by the gateways it can come through, half by what this one was seen to carry: sums to one.
         let carried = if c.heard.1 > 0.0 { (c.heard.0 / c.heard.1).clamp(0.0, 1.0) } else { 1.0 / c.spread };
-        let share = (carried + 1.0 / c.spread) / 2.0;
+        let (least, part) = self.part_of(customer);
+        let Some(c) = self.customers.get_mut(&customer) else { return false };
+        let share = (carried + part) / 2.0;
         // Guards against shares of less than one request, which would refuse everything: at least that much.
         let (level, depth) = ((left * share).max(most_units), (p.burst * share).max(most_units));
         let rate = p.rate * share;
-        let ok = c.bucket.get_or_insert(TokenBucket { level, depth, rate, at: now }).take(now, units);
+        let bucket = c.bucket.get_or_insert(TokenBucket { level, depth, rate, at: now });
+        if self.lent.is_some() {
+            // Since its last use the share may have been anything down to the least of it.
+            bucket.rate = bucket.rate.min(if c.turn == self.turn { rate } else { p.rate * least });
+            bucket.fill(now);
+            (bucket.rate, bucket.depth, c.turn) = (rate, depth, self.turn);
+        }
+        let ok = bucket.take(now, units);
         c.window.owed += if ok && !added { units } else { 0.0 };
         ok
     }
 
+    /// The part of a customer's quota that is this gateway's by the gateways that the customer comes through: the
+    /// least that it is whatever happens, and now. The shares of those that are away go to the others in equal
+    /// parts; one that can't show that it is held to be there keeps what is never lent.
+    fn part_of(&self, customer: CustomerId) -> (f64, f64) {
+        let Some(c) = self.customers.get(&customer) else { return (0.0, 0.0) };
+        let Some(lent) = &self.lent else { return (1.0 / c.spread, 1.0 / c.spread) };
+        let least = (1.0 - lent.part) / c.spread;
+        if self.now >= lent.until {
+            return (least / 2.0, least);
+        }
+        let all = self.set.gateways;
+        let comes_through = |g: &&u32| (**g + all - c.first % all) % all < c.spread as u32;
+        let away = lent.away.iter().filter(|g| **g < all).filter(comes_through).count() as f64;
+        (least / 2.0, least + lent.part / (c.spread - away).max(1.0))
+    }
+
+    /// A share that lapsed, or whose parts changed, may have been less in between.
+    fn on_lent(&mut self, lent: Lent) {
+        let held = self.lent.as_ref();
+        let steady = held.is_some_and(|l| self.now < l.until && l.away == lent.away && l.part == lent.part);
+        self.turn += u64::from(!steady);
+        self.lent = Some(lent);
+    }
+
     fn decide_place(&mut self, id: RequestId, heard: Option<f64>) {
         let Some(r) = self.requests.get(&id) else { return };
         let (customer, plan, done) = (r.a.customer, &self.set.plans[r.a.plan.0], r.done);
--- a/src/state.rs
+++ b/src/state.rs
@@ -86,6 +86,12 @@
     pub(crate) refused: Option<Refusal>,
     pub(crate) plan: usize,
     pub(crate) spread: f64,
+    /// The first gateway that it comes through.
+    #[serde(default)]
+    pub(crate) first: u32,
+    /// Turns of what is lent, up to which its bucket is filled.
+    #[serde(skip)]
+    pub(crate) turn: u64,
     pub(crate) window: Tally,
     pub(crate) epoch: Tally,
     /// Own adds and totals of past windows, fading.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -90,6 +90,7 @@
                     plan: PlanId(plan),
                     customer: CustomerId(customer),
                     spread: f.real_or("doors", 1.0)?.clamp(1.0, 1e6) as u32,
+                    first: 0,
                     deadline: f.read("drop_dead", "a clock time")?.map_or(now + longest, Micros),
                     units,
                     resent: f.flag_or("resent", false)?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -117,8 +117,18 @@
         self.next += 1;
         let deadline = Micros(self.now + 3 * S);
         let (class, plan, customer) = (ClassId(class), PlanId(plan), CustomerId(customer));
-        let arrival =
-            Arrival { id, class, plan, customer, spread: 2, deadline, units, resent: false, upload: false };
+        let arrival = Arrival {
+            id,
+            class,
+            plan,
+            customer,
+            spread: 2,
+            first: 0,
+            deadline,
+            units,
+            resent: false,
+            upload: false,
+        };
         (id, self.tell(Event::Request(arrival)))
     }
     /// A request without quota, sent on at once; returns where it went.
--- /dev/null
+++ b/tests/lent.rs
@@ -0,0 +1,128 @@
+//! Shares that follow the living: what the gateways let on by themselves, together, while the counter is down.
+
+use starlinghill::api::*;
+use starlinghill::rules::Gateway;
+
+const GATEWAYS: u32 = 4;
+const RATE: f64 = 40.0;
+const SECOND: Micros = Micros(1_000_000);
+
+fn gateway(me: u32) -> Gateway {
+    let class = Class {
+        aim: SECOND,
+        deadline: Micros(4_000_000),
+        worth: 1.0,
+        late_worth: 0.5,
+        effect: Effect::Safe,
+        group: Group::All,
+        window: Micros(0),
+        stream: false,
+    };
+    let plan = Plan {
+        rate: RATE,
+        burst: 40.0,
+        open: 0.0,
+        price: 1.0,
+        over_worth: 0.0,
+        over_cost: 0.0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+    };
+    let set = Settings {
+        gateways: GATEWAYS,
+        me,
+        classes: vec![class],
+        plans: vec![plan],
+        max_attempts: 3,
+        counter: true,
+        most_units: 1.0,
+        tick: Micros(4_000),
+        cold_from: 1.0,
+        fall_multiple: 2.0,
+        ..Settings::default()
+    };
+    let mut new = Gateway::new(u64::from(me), set).expect("sound settings");
+    let entry = |n| ServerEntry {
+        server: ServerId(n),
+        zone: ZoneId(0),
+        cell: CellId(0),
+        listed: Listed::InService,
+        weight: 1.0,
+        started: None,
+    };
+    let servers = (0..20).map(entry).collect();
+    new.handle(SECOND, Event::Servers(ListScope::Whole, servers), &mut Vec::new());
+    new
+}
+
+/// Offers far more than the quota for so many seconds; every call to the counter fails, every attempt is answered
+/// at once. Returns the units sent on.
+fn play(gateway: &mut Gateway, from: Micros, seconds: u64, spread: u32, serial: &mut u64) -> f64 {
+    let (mut sent, mut out) = (0.0, Vec::new());
+    for step in 0..seconds * 50 {
+        let now = from + Micros(step * 20_000);
+        *serial += 1;
+        let id = RequestId(*serial);
+        let arrival =
+            Arrival { id, spread, units: 1.0, deadline: now + Micros(4_000_000), ..Arrival::default() };
+        let mut events = vec![Event::Request(arrival)];
+        while let Some(event) = events.pop() {
+            gateway.handle(now, event, &mut out);
+            for action in out.drain(..) {
+                match action {
+                    Action::Count(name, ..) => events.push(Event::Counted(name, Outcome::Full, 0.0)),
+                    Action::Send(id, server, _) => {
+                        sent += 1.0;
+                        events.push(Event::AttemptEnded(AttemptEnd {
+                            id,
+                            attempt: 0,
+                            server,
+                            outcome: Outcome::Ok,
+                            took: Micros(1_000),
+                            ended: true,
+                            settled: None,
+                            report: Report::default(),
+                        }));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    sent
+}
+
+/// What all gateways send on in 40 s, a minute after the outage began, in parts of the quota.
+fn parts(lent: impl Fn(u32) -> Option<Lent>, who: &[u32], spread: u32) -> f64 {
+    let mut sum = 0.0;
+    for &me in who {
+        let (mut gateway, mut serial) = (gateway(me), 0);
+        let tell = |gateway: &mut Gateway, at: Micros| {
+            lent(me).into_iter().for_each(|l| gateway.handle(at, Event::Lent(l), &mut Vec::new()));
+        };
+        tell(&mut gateway, SECOND);
+        play(&mut gateway, Micros(2_000_000), 60, spread, &mut serial);
+        tell(&mut gateway, Micros(62_000_000));
+        sum += play(&mut gateway, Micros(62_000_000), 40, spread, &mut serial);
+    }
+    sum / (RATE * 40.0)
+}
+
+#[test]
+fn the_living_use_what_the_dead_lend_and_all_together_never_more_than_the_quota() {
+    let whole = |away: &[u32]| Lent { part: 1.0, until: Micros(u64::MAX), away: away.to_vec() };
+    let alone = || Lent { part: 1.0, ..Lent::default() };
+    let near = |found: f64, wanted: f64| assert!((found - wanted).abs() < 0.03, "{found}, not {wanted}");
+    // One of four is dead: fixed shares leave a quarter of the quota unused, of which half can be lent, as the
+    // other half of a share goes by what each was seen to carry.
+    near(parts(|_| None, &[0, 1, 2], 4), 0.75);
+    near(parts(|_| Some(whole(&[3])), &[0, 1, 2], 4), 0.875);
+    // It lives, cut off, and knows it: the sum stays at one.
+    near(parts(|me| Some(if me == 3 { alone() } else { whole(&[3]) }), &[0, 1, 2, 3], 4), 1.0);
+    // A customer that does not come through the dead one has nothing to be lent.
+    near(parts(|_| Some(whole(&[3])), &[0, 1], 2), 1.0);
+    // A share that ran out is not used on.
+    let over = |_| Some(Lent { part: 1.0, until: Micros(30_000_000), away: vec![3] });
+    near(parts(over, &[0, 1, 2], 4), 0.375);
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -14,8 +14,18 @@
     rig.next += 1;
     let deadline = Micros(rig.now + 3 * S);
     let (class, plan, customer) = (ClassId(0), PlanId(0), CustomerId(rig.next));
-    let arrival =
-        Arrival { id, class, plan, customer, spread: 200, deadline, units: 2.0, resent, upload: false };
+    let arrival = Arrival {
+        id,
+        class,
+        plan,
+        customer,
+        spread: 200,
+        first: 0,
+        deadline,
+        units: 2.0,
+        resent,
+        upload: false,
+    };
     (id, rig.tell(Event::Request(arrival)))
 }
 
