Ask the gateways of a lab's run what they know of their fleet, and judge it

Need: membership has to be shown by many processes of the program with faults between them, not by its model alone.

Change: in scenarios with peers the lab asks every gateway's GET /fleet twice a second; the judge holds it against the lives that the lab gave them: fleet_one, fleet_wrong_s, fleet_agreed, fleet_false_downs, fleet_two_views.

--- a/lab/src/judge/figures.rs
+++ b/lab/src/judge/figures.rs
@@ -56,6 +56,16 @@
     pub memory_mb: f64,
     /// The most descriptors of a gateway.
     pub descriptors: usize,
+    /// Of the gateways that ran at the end, the part that held exactly each other to be present (0: nobody talks).
+    pub fleet_one: f64,
+    /// Seconds from the last fault's end or process's start until the last look that saw a gateway wrong.
+    pub fleet_wrong_s: f64,
+    /// Of the gateways that ran at the end, the part that said that all agree.
+    pub fleet_agreed: f64,
+    /// Looks at which a gateway in good order was held down, well after every fault.
+    pub fleet_false_downs: f64,
+    /// Pairs of looks at one time at two agreed views by one number.
+    pub fleet_two_views: f64,
     /// How late the generator was with first tries: at the middle ...
     pub late_p50_ms: f64,
     /// ... and at the 99th percentile.
@@ -125,6 +135,11 @@
             ("p99_ms", self.p99_ms),
             ("p999_ms", self.p999_ms),
             ("cold_fallen", self.cold_fallen),
+            ("fleet_one", self.fleet_one),
+            ("fleet_wrong_s", self.fleet_wrong_s),
+            ("fleet_agreed", self.fleet_agreed),
+            ("fleet_false_downs", self.fleet_false_downs),
+            ("fleet_two_views", self.fleet_two_views),
         ]
     }
 }
@@ -319,7 +334,13 @@
     );
     let late = histogram(tries.iter().filter(|t| t.nth == 0).map(|t| t.began.saturating_sub(t.due)));
     let at = |h: &Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1000.0;
+    let fleet = super::fleet::words(plan, record);
     let mut figures = Figures {
+        fleet_one: fleet.one,
+        fleet_wrong_s: fleet.wrong_for_s,
+        fleet_agreed: fleet.agreed,
+        fleet_false_downs: fleet.false_downs as f64,
+        fleet_two_views: fleet.two_views as f64,
         requests,
         tries: tries.len(),
         served: share(sum(|w| w.earned), sum(|w| w.offered)),
--- a/lab/src/judge/mod.rs
+++ b/lab/src/judge/mod.rs
@@ -2,6 +2,7 @@
 //! program's own decisions.
 
 mod figures;
+mod fleet;
 mod rules;
 #[cfg(test)]
 mod tests;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod relay;
 pub mod report;
 pub mod scenario;
+pub mod seen;
 pub mod serve;
 pub mod settings;
 pub mod stats;
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -178,6 +178,29 @@
     pub descriptors: usize,
 }
 
+/// What a gateway said of its fleet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetSeen {
+    /// The gateway.
+    pub gateway: usize,
+    /// Counted from 0 over its restarts.
+    pub life: usize,
+    /// When it was asked.
+    pub asked: Us,
+    /// When its answer was there.
+    pub at: Us,
+    /// Gateways that take part, itself among them, in order.
+    pub present: Vec<usize>,
+    /// Gateways that it holds down.
+    pub down: Vec<usize>,
+    /// Its view's number and digest.
+    pub view: Option<(u64, String)>,
+    /// It says that all agree.
+    pub agreed: bool,
+    /// Its share is whole.
+    pub whole: bool,
+}
+
 /// Who was cut off from the clients, and when: nothing is owed there.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Excuse {
@@ -206,6 +229,8 @@
     pub lives: Vec<LifeEvent>,
     /// What they used.
     pub usage: Vec<Usage>,
+    /// What they said of their fleet.
+    pub fleets: Vec<FleetSeen>,
     /// Clients' ways that were cut or broken on purpose.
     pub excuses: Vec<Excuse>,
     /// Connections that gateways opened to backends: backend by gateway.
--- a/lab/src/scenario/parts.rs
+++ b/lab/src/scenario/parts.rs
@@ -335,7 +335,7 @@
 }
 
 /// The figures that `[expect]` may bound, each by `FIGURE_min` or `FIGURE_max`.
-pub const FIGURES_WITH_BOUNDS: [&str; 16] = [
+pub const FIGURES_WITH_BOUNDS: [&str; 21] = [
     "served",
     "worst_10s",
     "worst_plan",
@@ -352,6 +352,11 @@
     "p99_ms",
     "p999_ms",
     "cold_fallen",
+    "fleet_one",
+    "fleet_wrong_s",
+    "fleet_agreed",
+    "fleet_false_downs",
+    "fleet_two_views",
 ];
 
 /// Bounds on the figures; a missed one makes the run end with 1.
--- /dev/null
+++ b/lab/src/seen.rs
@@ -0,0 +1,88 @@
+//! What gateways say of their fleet, asked again and again at their operators' addresses.
+
+use crate::gateway::Gateway;
+use crate::ground::Ground;
+use crate::link::lock;
+use crate::record::FleetSeen;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{sleep, timeout};
+
+/// Between two looks at all gateways.
+const LOOK: Duration = Duration::from_millis(500);
+/// The longest wait for an answer.
+const PATIENCE: Duration = Duration::from_millis(900);
+/// The longest answer that is read.
+const LONGEST: u64 = 1 << 20;
+
+#[derive(Deserialize)]
+struct Report {
+    #[serde(default)]
+    members: Vec<Member>,
+    view: Option<View>,
+}
+
+#[derive(Deserialize)]
+struct Member {
+    name: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct View {
+    number: u64,
+    digest: String,
+    agreement: String,
+    share_for_ms: u64,
+}
+
+/// Looks at what the gateways say for as long as it is let.
+pub async fn watch_fleets(ground: Arc<Ground>, gateways: Vec<Arc<Gateway>>) {
+    loop {
+        let looks: Vec<_> =
+            gateways.iter().map(|gateway| tokio::spawn(look(ground.clone(), gateway.clone()))).collect();
+        sleep(LOOK).await;
+        for look in looks {
+            // A look that failed saw nothing.
+            let _ = look.await;
+        }
+    }
+}
+
+async fn look(ground: Arc<Ground>, gateway: Arc<Gateway>) {
+    let ops = lock(&gateway.place).ops;
+    let (life, asked) = (ground.life(gateway.number), ground.clock.now());
+    let Ok(Some(report)) = timeout(PATIENCE, ask(ops)).await else { return };
+    let number = |name: &str| name.strip_prefix('g').and_then(|n| n.parse::<usize>().ok());
+    let present = report.members.iter().filter(|m| matches!(m.state.as_str(), "alive" | "suspect"));
+    let mut present: Vec<usize> = present.filter_map(|m| number(&m.name)).collect();
+    present.push(gateway.number);
+    present.sort_unstable();
+    let down = report.members.iter().filter(|m| m.state == "down").filter_map(|m| number(&m.name));
+    let down = down.collect();
+    let seen = FleetSeen {
+        gateway: gateway.number,
+        life,
+        asked,
+        at: ground.clock.now(),
+        present,
+        down,
+        view: report.view.as_ref().map(|v| (v.number, v.digest.clone())),
+        agreed: report.view.as_ref().is_some_and(|v| v.agreement == "agreed"),
+        whole: report.view.as_ref().is_some_and(|v| v.share_for_ms > 0),
+    };
+    ground.note(|record| record.fleets.push(seen));
+}
+
+async fn ask(ops: SocketAddr) -> Option<Report> {
+    let mut stream = tokio::net::TcpStream::connect(ops).await.ok()?;
+    stream.write_all(b"GET /fleet HTTP/1.1\r\nHost: ops\r\nConnection: close\r\n\r\n").await.ok()?;
+    let mut answer = Vec::new();
+    stream.take(LONGEST).read_to_end(&mut answer).await.ok()?;
+    let text = String::from_utf8(answer).ok()?;
+    let (_, body) = text.split_once("\r\n\r\n").filter(|(head, _)| head.starts_with("HTTP/1.1 200"))?;
+    serde_json::from_str(body).ok()
+}
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -12,6 +12,7 @@
 use crate::plan::{us, Action, Plan};
 use crate::record::{Excuse, Record};
 use crate::relay::{Door, Serve, Way};
+use crate::seen::watch_fleets;
 use crate::targets::Party;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -153,6 +154,8 @@
         let own = || used("self").map_or(0, |(cpu_us, _)| cpu_us);
         let before = own();
         let usage = tokio::spawn(watch_usage(ground.clone(), self.gateways.clone()));
+        let talk = ground.plan.scenario.gateways.peers;
+        let fleets = talk.then(|| tokio::spawn(watch_fleets(ground.clone(), self.gateways.clone())));
         let world = self.clone();
         let steps = tokio::spawn(async move {
             for step in &world.ground.plan.steps {
@@ -174,6 +177,7 @@
         self.clients.look_at_kept().await;
         steps.abort();
         usage.abort();
+        fleets.into_iter().for_each(|fleets| fleets.abort());
         ground.note(|record| {
             record.lab_cpu_us = own().saturating_sub(before);
             record.starved = ground.starved.count();
