--- a/tests/sockets/replacement.rs
+++ b/tests/sockets/replacement.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// The platform's side: the clients' socket and the folder that processes share.
-struct Platform {
+pub struct Platform {
     listener: TcpListener,
     folder: PathBuf,
 }
@@ -21,7 +21,7 @@
 }
 
 impl Platform {
-    fn new() -> Platform {
+    pub fn new() -> Platform {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let name = format!("sh-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let folder = std::env::temp_dir().join(name);
@@ -29,7 +29,7 @@
         Platform { listener: TcpListener::bind("127.0.0.1:0").expect("a port"), folder }
     }
     /// The program with the socket as descriptor 7.
-    fn command(&self, config: &str) -> Command {
+    pub fn command(&self, config: &str) -> Command {
         let inner = program(config);
         let mut command = Command::new("/bin/sh");
         command.args(["-c", &format!("exec {} 7<&0 0</dev/null", env!("CARGO_BIN_EXE_starlinghill"))]);
@@ -44,7 +44,7 @@
     }
 }
 
-fn wait_until_serving(node: &Node) {
+pub fn wait_until_serving(node: &Node) {
     let until = Instant::now() + LIMIT;
     while node.operate("GET", "/healthcheck").status() != 200 {
         assert!(Instant::now() < until, "never ready");
