Knock at the neighbour in a ring, so that no death is missed for long

Change: each member knocks at the next name that is alive, once a period, three times in 0.6 s; a miss is a suspicion that anybody can refute, and a life that was missed is spared for 30 s, where only this way is cut.

--- a/lab/tests/custody_model.rs
+++ b/lab/tests/custody_model.rs
@@ -197,6 +197,9 @@
 /// A view: its number, and which of two contents.
 type View = (u8, bool);
 
+/// Views as they were said, and how long ago.
+type Words = Vec<Option<(View, u8)>>;
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Holder {
     up: bool,
@@ -204,13 +207,13 @@
     /// What it says, once it says anything.
     own: Option<View>,
     /// Words of all, with their ages, its own in its own place.
-    words: Vec<Option<(View, u8)>>,
+    words: Words,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Views {
     members: Vec<Holder>,
-    answer: Option<(usize, Vec<Option<(View, u8)>>)>,
+    answer: Option<(usize, Words)>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -28,6 +28,16 @@
         /// The sender holds the receiver, as it told of itself last by this number, for a suspect.
         doubt: Option<u16>,
     },
+    /// Asks whether the receiver is there.
+    Knock {
+        /// Comes back with the answer.
+        token: u64,
+    },
+    /// Answers that.
+    Here {
+        /// The knock's.
+        token: u64,
+    },
     /// Asks for all words on the seats.
     Ask {
         /// What stands for the asker's list of seats.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod identity;
 mod lending;
 mod report;
+mod ring;
 mod swim;
 mod view;
 
@@ -26,6 +27,7 @@
 
 use frame::Head;
 use lending::Lending;
+use ring::{Ring, Turn};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -211,6 +213,7 @@
     left: bool,
     /// Where members were heard last.
     heard_at: BTreeMap<std::rc::Rc<str>, SocketAddr>,
+    ring: Ring,
     /// The seats, where the settings name them.
     lending: Option<Lending>,
 }
@@ -241,6 +244,7 @@
             farewells: 0,
             left: false,
             heard_at: BTreeMap::new(),
+            ring: Ring::default(),
             lending,
         })
     }
@@ -300,10 +304,28 @@
         if self.call_at.is_some_and(|at| at <= self.now) {
             self.call_absent(sends);
         }
+        self.knock(sends, out);
         self.tell(out);
         self.lend(out);
     }
 
+    /// Knocks at the neighbour in the ring.
+    fn knock(&mut self, sends: &mut Vec<Outgoing>, out: &mut Vec<Effect>) {
+        let period = Micros(self.settings.period.as_micros() as u64);
+        let (swim, token) = (&self.swim, self.rng.u64(..));
+        let stretched = |span| swim.health().stretched(span);
+        match self.ring.turn(swim.awake(), period, &self.settings.name, swim.records(), token, stretched) {
+            Turn::Quiet => {}
+            Turn::Knock(to, token) => {
+                let addresses: Vec<SocketAddr> = self.addresses(&to).collect();
+                if let Some(frame) = frame::write(self.tag, &Head::Knock { token }, &[]) {
+                    addresses.into_iter().for_each(|at| self.send_frame(at, frame.clone(), out));
+                }
+            }
+            Turn::Missed(neighbour) => self.swim.suspect(&neighbour, sends),
+        }
+    }
+
     /// Says what this member knows of the seats, asks another for its words, and tells what follows.
     fn lend(&mut self, out: &mut Vec<Effect>) {
         let Some(lending) = self.lending.as_mut() else { return };
@@ -373,6 +395,17 @@
             }
             let (on_record, live, doubt) = match head {
                 Head::Swim { on_record, live, doubt } => (on_record, live, doubt),
+                Head::Knock { token } => {
+                    if let Some(frame) = frame::write(self.tag, &Head::Here { token }, &[]) {
+                        self.send_frame(from, frame, out);
+                    }
+                    return Ok(());
+                }
+                // One that comes late, or twice, says nothing new.
+                Head::Here { token } => {
+                    self.ring.here(token);
+                    return Ok(());
+                }
                 Head::Ask { list, token } => return self.answer(from, list, token, out),
                 Head::Words { list, token, table } => {
                     let learnt = self.lending.as_mut().is_some_and(|l| l.learn(list, token, &table));
--- a/src/fleet/swim.rs
+++ b/src/fleet/swim.rs
@@ -238,6 +238,8 @@
     /// Since when others are known.
     connected: Option<Micros>,
     left: bool,
+    /// The protocol's mark on its timers; those with another are out of date.
+    token: Option<foca::TimerToken>,
     /// Probe period, and longest message.
     bounds: (Duration, usize),
 }
@@ -294,6 +296,7 @@
             sized: 1,
             connected: None,
             left: false,
+            token: None,
             bounds: (period, longest),
         }
     }
@@ -306,6 +309,10 @@
     pub fn health(&self) -> &Health {
         &self.health
     }
+    /// Time awake.
+    pub fn awake(&self) -> Micros {
+        self.awake
+    }
     /// Since when it has known others, if it does.
     pub fn connected(&self) -> Option<Micros> {
         self.connected
@@ -397,6 +404,20 @@
         }
     }
 
+    /// This member itself had no answer of another.
+    pub fn suspect(&mut self, id: &Identity, out: &mut Vec<Outgoing>) {
+        let known = self.foca.iter_members().find(|m| m.id() == id && m.state() == State::Alive);
+        let Some((number, token)) = known.map(|m| m.incarnation()).zip(self.token) else { return };
+        let suspect = Member::new(id.clone(), number, State::Suspect);
+        let _ = self.foca.apply_many(std::iter::once(suspect), true, &mut self.runtime);
+        let after = self.bounds.0 * SUSPICION;
+        let timer = Timer::ChangeSuspectToDown { member_id: id.clone(), incarnation: number, token };
+        foca::Runtime::submit_after(&mut self.runtime, timer, after);
+        self.pump(out);
+        self.look();
+        self.ask_suspects(out);
+    }
+
     /// Somebody suspects this member and asks. The answer to what it asks with carries the refutation.
     pub fn doubted(&mut self, number: u16, out: &mut Vec<Outgoing>) {
         // The same doubt comes from many, and again until its answer is heard; it says the same once.
@@ -472,6 +493,9 @@
                 | Timer::ChangeSuspectToDown { .. } => self.health.stretched(micros(after)),
                 _ => micros(after),
             };
+            if let Timer::ProbeRandomMember(token) = &timer {
+                self.token = Some(*token);
+            }
             self.probing |= matches!(timer, Timer::SendIndirectProbe { .. });
             self.stale |= matches!(timer, Timer::ChangeSuspectToDown { .. });
             let at = self.awake + span;
