--- a/src/rules.rs
+++ b/src/rules.rs
@@ -548,9 +548,9 @@
         ok
     }
 
-    /// The part of a customer's quota that is this gateway's by the gateways that the customer comes through: the
-    /// least that it is whatever happens, and now. The shares of those that are away go to the others in equal
-    /// parts; one that can't show that it is held to be there keeps what is never lent.
+    /// The part of a customer's quota that is this gateway's by the gateways that the customer comes through:
+    /// the least that it is whatever happens, and now. The shares of those that are away go to the others in
+    /// equal parts; one that can't show that it is held to be there keeps what is never lent.
     fn part_of(&self, customer: CustomerId) -> (f64, f64) {
         let Some(c) = self.customers.get(&customer) else { return (0.0, 0.0) };
         let Some(lent) = &self.lent else { return (1.0 / c.spread, 1.0 / c.spread) };
