Pass news of members on six times more, so that nobody hears of a death late

Cause: news goes out 4 log10(n) times from each member, four at ten of them; one member in a hundred then never hears, and finds the death by its own probe seconds later (one of thirty deaths known everywhere after 8.5 s).

Change: six more times, whatever the size.

--- a/src/fleet/swim.rs
+++ b/src/fleet/swim.rs
@@ -32,6 +32,9 @@
 /// A suspect is dead after so many probe periods. SWIM and its kin let this grow with the fleet, as word of the
 /// suspicion and of its refutation has to spread; here who suspects asks the suspect itself, again and again.
 const SUSPICION: u32 = 2;
+/// Each member passes news on so many times more often than `4 log10 n`: with that alone, one in a hundred members
+/// of a small fleet hears of a death by luck only, seconds late.
+const TOLD_MORE: u8 = 6;
 /// Between two such questions.
 const ASK_SUSPECT: Micros = Micros(250_000);
 
@@ -255,7 +258,9 @@
 /// The protocol's settings for a fleet of so many members.
 fn settings(members: usize, period: Duration, longest: usize) -> foca::Config {
     let size = NonZeroU32::new(members.clamp(1, 1 << 20) as u32).unwrap_or(NonZeroU32::MIN);
+    let usual = foca::Config::new_lan(size);
     foca::Config {
+        max_transmissions: usual.max_transmissions.saturating_add(TOLD_MORE),
         probe_period: period,
         probe_rtt: ROUND_TRIP.min(period / 3),
         num_indirect_probes: NonZeroUsize::new(INDIRECT).unwrap_or(NonZeroUsize::MIN),
@@ -266,7 +271,6 @@
         periodic_announce: every((COMPARE, 1)),
         periodic_announce_to_down_members: every(CALL_DEAD),
         periodic_gossip: every(GOSSIP),
-        ..foca::Config::new_lan(size)
     }
 }
 
