Refuse views whose number leaves no room, and bend messages behind a right checksum

Cause: a table with the highest number made the next view's number overflow: a panic in a debug build, a number used twice in a release. Rubbish had been tried in front of the checksum only.

--- a/lab/src/members/world.rs
+++ b/lab/src/members/world.rs
@@ -98,8 +98,6 @@
     cuts: BTreeSet<(usize, usize)>,
     /// What members told, and when.
     pub notices: Vec<(Micros, usize, Notice)>,
-    /// Whether notices are kept.
-    pub listens: bool,
     effects: Vec<Effect>,
 }
 
@@ -108,23 +106,30 @@
     SocketAddr::new(IpAddr::V4(ip), port)
 }
 
-impl World {
-    /// So many members, none of them started, that all know each other's addresses.
-    pub fn new(count: usize, seed: u64) -> World {
-        let names: Vec<String> = (0..count).map(|i| format!("g{i}")).collect();
-        let peers: BTreeMap<String, SocketAddr> =
-            names.iter().cloned().enumerate().map(|(i, name)| (name, address(i, 7946))).collect();
-        let nodes = names.into_iter().enumerate().map(|(i, name)| Node {
+impl Node {
+    /// One that is not started, with what it is told of the others.
+    fn new(node: usize, name: String, peers: BTreeMap<String, SocketAddr>) -> Node {
+        Node {
             name,
-            address: address(i, 7946),
+            address: address(node, 7946),
             fleet: None,
             life: 0,
             paused: false,
             backlog: Vec::new(),
             behind: Micros(0),
             shares: Shares::default(),
-            peers: peers.clone(),
-        });
+            peers,
+        }
+    }
+}
+
+impl World {
+    /// So many members, none of them started, that all know each other's addresses.
+    pub fn new(count: usize, seed: u64) -> World {
+        let names: Vec<String> = (0..count).map(|i| format!("g{i}")).collect();
+        let peers: BTreeMap<String, SocketAddr> =
+            names.iter().cloned().enumerate().map(|(i, name)| (name, address(i, 7946))).collect();
+        let nodes = names.into_iter().enumerate().map(|(i, name)| Node::new(i, name, peers.clone()));
         World {
             now: Micros(0),
             weather: Weather::default(),
@@ -136,7 +141,6 @@
             serial: 0,
             cuts: BTreeSet::new(),
             notices: Vec::new(),
-            listens: true,
             effects: Vec::new(),
         }
     }
@@ -170,19 +174,9 @@
     /// One more process under a name that another node has, at an address of its own.
     pub fn double(&mut self, of: usize) -> usize {
         let (node, name) = (self.nodes.len(), self.nodes[of].name.clone());
-        let (address, peers) = (address(node, 7946), self.nodes[of].peers.clone());
-        self.at.insert(address, node);
-        self.nodes.push(Node {
-            name,
-            address,
-            fleet: None,
-            life: 0,
-            paused: false,
-            backlog: Vec::new(),
-            behind: Micros(0),
-            shares: Shares::default(),
-            peers,
-        });
+        let new = Node::new(node, name, self.nodes[of].peers.clone());
+        self.at.insert(new.address, node);
+        self.nodes.push(new);
         node
     }
 
@@ -304,8 +298,7 @@
         for effect in effects.drain(..) {
             match effect {
                 Effect::Send(address, bytes) => self.send(node, address, bytes),
-                Effect::Tell(notice) if self.listens => self.notices.push((self.now, node, notice)),
-                Effect::Tell(_) => {}
+                Effect::Tell(notice) => self.notices.push((self.now, node, notice)),
                 Effect::Shares(shares) => self.nodes[node].shares = shares,
             }
         }
--- a/src/fleet/census.rs
+++ b/src/fleet/census.rs
@@ -16,6 +16,8 @@
 const NONE: u8 = 0xff;
 /// Views that are kept, the own one among them.
 const MOST_VIEWS: usize = 15;
+/// No fleet comes to a number above this, and each has room for one more.
+const HIGHEST: u64 = u64::MAX / 2;
 /// Views that go out whole with a table.
 const WHOLE: usize = 2;
 
@@ -139,7 +141,8 @@
     /// made sense.
     pub fn learn(&mut self, table: &Table, asked: Micros, own: usize) -> bool {
         let seats = self.words.len();
-        if table.entries.len() != seats || table.views.iter().any(|v| v.len() != seats) {
+        if table.entries.len() != seats || table.views.iter().any(|v| v.len() != seats || v.number > HIGHEST)
+        {
             return false;
         }
         table.views.iter().for_each(|view| self.keep(view.digest(), view));
@@ -156,3 +159,26 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_table_is_refused_whole_that_no_fleet_can_have() {
+        let own = View::silent(3);
+        let good = Census::new(3).table(VALID, &own);
+        let learns = |table: &Table| Census::new(3).learn(table, VALID, 0);
+        assert!(learns(&good));
+        // A number without room for the next one would have it start again from nothing.
+        let mut top = own.clone();
+        top.number = u64::MAX;
+        assert!(!learns(&Table { views: vec![top], ..good.clone() }));
+        assert!(!learns(&Table { views: vec![View::silent(4)], ..good.clone() }));
+        assert!(!learns(&Table { entries: vec![0; 2], ..good.clone() }));
+        // An entry that points at no view, and one older than the clock, say nothing.
+        let mut census = Census::new(3);
+        assert!(census.learn(&Table { entries: vec![0xff, 0x90, 0x0e], ..good }, Micros(1), 0));
+        assert_eq!(census.heard(Micros(2)), 0);
+    }
+}
--- a/src/fleet/custody.rs
+++ b/src/fleet/custody.rs
@@ -85,7 +85,7 @@
             changed |= self.view.set(number, say);
         }
         if changed {
-            self.view.number = self.view.number.max(highest) + 1;
+            self.view.number = self.view.number.max(highest).saturating_add(1);
         }
     }
 
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -102,11 +102,17 @@
     bytes.extend([0; 4]);
     let mut bytes = postcard::to_extend(head, bytes).ok()?;
     bytes.extend_from_slice(rest);
-    let sum = (xxh3_64(bytes.get(PRELUDE..)?) as u32).to_le_bytes();
-    bytes.get_mut(PRELUDE - 4..PRELUDE)?.copy_from_slice(&sum);
+    seal(&mut bytes);
     (bytes.len() <= LONGEST).then_some(bytes)
 }
 
+/// Puts in the checksum of a frame that is whole but for it.
+pub(super) fn seal(bytes: &mut [u8]) {
+    if let Some((prelude, body)) = bytes.split_at_mut_checked(PRELUDE) {
+        prelude[PRELUDE - 4..].copy_from_slice(&(xxh3_64(body) as u32).to_le_bytes());
+    }
+}
+
 /// Reads a frame.
 pub fn read(tag: u32, bytes: &[u8]) -> Result<(Head, &[u8]), Stranger> {
     if bytes.len() > LONGEST {
--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -86,7 +86,7 @@
         self.list
     }
 
-    /// Brings the own word to what is known of the members. `yielded`: another process has the seat.
+    /// Brings the own word to what is known of the members.
     pub fn update(
         &mut self,
         now: Micros,
