Open a silent watch on discovery anew before its news counts as told

Cause: a watch asked discovery to hold its call for 20 s and was given up after 22 s (HOLD, PATIENCE and `next` in src/net/discovery.rs).

A call without an answer 0.5 s after its hold (2 s where lists are asked for, not pushed) is taken for silent, and prompt calls are made beside it, three at once at most, until one is answered. The others are dropped with their connections.

Measured: the tests lists::a_silent_watch_..., the_late_answer_... and while_discovery_is_silent_... fail with the sources before (22 s of silence against a limit of 10 s) and pass with these. The stand-in for discovery holds a watch no longer than it was asked to, as a real one does; no assertion of the tests that use it changed.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -155,14 +155,14 @@
     pub counter: usize,
 }
 
-/// Descriptors for all but clients, backends and the counter.
+/// Descriptors for all but clients, backends and the counter: standard streams, listeners, epoll, signals, calls to
+/// discovery, the client that waits for a place, and operators.
 const RESERVE: usize = 16 + super::ops::CALLERS;
 
 impl SocketLimits {
     fn of(sockets: usize) -> SocketLimits {
-        // A reserve is for standard streams, listeners, epoll, signals, discovery, the client that waits for a
-        // place, and operators. Clients have all that is left: beside theirs, up to a third, stand those of
-        // peers that send nothing, each until its time is up or room is short.
+        // Clients have all that is left: beside theirs, up to a third, stand those of peers that send nothing, each
+        // until its time is up or room is short.
         let counter = (sockets / 32).clamp(1, 32);
         let backends = (sockets / 4).max(1);
         let clients = sockets.saturating_sub(backends + counter + RESERVE).max(1);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,82 +1,229 @@
-//! The list of backends: a watch on discovery that never stops.
+//! The watch on discovery: a long poll that is repeated for ever, and that may fall silent at any time.
+//!
+//! Each call but the first is held by discovery until there is news or its hold is over. A call without an answer
+//! by then is taken for silent: further calls, not held, are made beside it, each over a connection of its own,
+//! until one is answered. The others are dropped with their connections, so that the late answer of an abandoned
+//! call is never read. At most [`MOST_CALLS`] calls are out at once.
+//!
+//! Bound: while discovery can be reached, a change is in the driver's inbox at most hold + silence + one round
+//! trip after discovery has it, which is below the 6 s after which it counts as told.
 
 use super::config::MemberList;
 use super::driver::{Inbox, Input};
 use super::http::{Connection, MAX_BODY};
 use super::upload::Sending;
+use crate::api::Settings;
 use hyper::{header, Request, StatusCode};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tracing::{info, warn};
 
-/// How long a watch waits for news.
-const HOLD: Duration = Duration::from_secs(20);
-/// How long an answer may take beyond what it was asked to wait.
-const PATIENCE: Duration = Duration::from_secs(2);
 /// The pause before a failed call is made again; a watch goes on if its next call comes within 200 ms.
-const PAUSE: Duration = Duration::from_millis(100);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Fetches the whole list, then watches it for ever, telling the driver what is new.
-pub async fn watch(address: SocketAddr, inbox: Inbox) {
-    let mut revision = None;
-    let mut connection = None;
-    let mut silent = false;
-    loop {
-        match next(address, &mut connection, revision).await {
-            Ok(list) => {
-                if std::mem::take(&mut silent) {
-                    info!("discovery answers again");
-                }
-                // Guards against a stale answer that would undo a drain already told, and against changes to
-                // a list that is not held. The whole list, asked for anew, is what discovery has.
-                let older = revision.is_some_and(|held| list.revision < held);
-                if older || revision.is_none() && !list.complete {
-                    warn!(revision = list.revision, "discovery told what does not follow; asking for all");
-                    revision = None;
-                    sleep(PAUSE).await;
-                    continue;
-                }
-                revision = Some(list.revision);
-                if inbox.send(Input::Members(list)).await.is_err() {
-                    return;
-                }
+/// The most calls that are out at once; each takes a descriptor.
+const MOST_CALLS: usize = 3;
+
+/// How patient the watch is.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    /// How long discovery is asked to hold a call while there is no news.
+    hold: Duration,
+    /// A call counts as silent so long after its hold is over.
+    silence: Duration,
+    /// A silent call is given up so long after its hold is over.
+    patience: Duration,
+}
+
+impl Pace {
+    /// Where lists are pushed, an agent on this machine answers at once and at no cost.
+    const PUSHED: Pace = Pace {
+        hold: Duration::from_secs(2),
+        silence: Duration::from_millis(500),
+        patience: Duration::from_secs(1),
+    };
+    /// Where lists are asked for, one service answers all gateways in turn: an early repeat would only make it slower.
+    const ASKED: Pace = Pace {
+        hold: Duration::from_secs(3),
+        silence: Duration::from_secs(2),
+        patience: Duration::from_secs(2),
+    };
+
+    /// The pace for a deployment.
+    pub fn of(settings: &Settings) -> Pace {
+        match settings.must_subscribe {
+            true => Pace::ASKED,
+            false => Pace::PUSHED,
+        }
+    }
+}
+
+/// Why a call brought no list.
+#[derive(Debug)]
+enum CallFailure {
+    Unreachable,
+    TimedOut,
+    Broken,
+    Status(StatusCode),
+    Malformed(serde_json::Error),
+}
+
+impl fmt::Display for CallFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallFailure::Unreachable => f.write_str("no connection"),
+            CallFailure::TimedOut => f.write_str("no answer in time"),
+            CallFailure::Broken => f.write_str("the connection broke"),
+            CallFailure::Status(status) => write!(f, "answered with {status}"),
+            CallFailure::Malformed(error) => write!(f, "not a list of members: {error}"),
+        }
+    }
+}
+
+/// A list, and the connection that it came over.
+struct Answer {
+    list: MemberList,
+    connection: Connection,
+}
+
+/// One call to discovery.
+#[derive(Clone, Copy)]
+struct Call {
+    address: SocketAddr,
+    /// Changes since this version; the whole list without one.
+    since: Option<u64>,
+    /// How long discovery may wait for news.
+    hold: Duration,
+}
+
+impl Call {
+    fn request(&self) -> Option<Request<Sending>> {
+        let path = match self.since {
+            None => "/catalog/members".to_string(),
+            Some(revision) => {
+                // A hold of nothing at all is not a hold that the protocol names.
+                let hold_ms = self.hold.as_millis().max(1);
+                format!("/catalog/members?from={revision}&hold_ms={hold_ms}")
             }
-            Err(problem) => {
-                connection = None;
-                if !std::mem::replace(&mut silent, true) {
-                    warn!(problem, "discovery failed; the list stays as it is");
-                }
-                sleep(PAUSE).await;
+        };
+        let mut request = Request::new(Sending::empty());
+        *request.uri_mut() = path.parse().ok()?;
+        let host = self.address.to_string().parse().ok()?;
+        request.headers_mut().insert(header::HOST, host);
+        Some(request)
+    }
+
+    async fn exchange(self, resting: Option<Connection>) -> Result<Answer, CallFailure> {
+        let mut connection = match resting {
+            Some(connection) => connection,
+            None => {
+                let opened = Connection::open(self.address, MAX_BODY).await;
+                opened.map_err(|_| CallFailure::Unreachable)?
             }
+        };
+        let request = self.request().ok_or(CallFailure::Unreachable)?;
+        let response = connection.call(request).await.map_err(|_| CallFailure::Broken)?;
+        if response.status() != StatusCode::OK {
+            return Err(CallFailure::Status(response.status()));
         }
+        let list = serde_json::from_slice(response.body()).map_err(CallFailure::Malformed)?;
+        Ok(Answer { list, connection })
+    }
+
+    /// Makes the call, over a connection that rests if there is one.
+    async fn make(self, resting: Option<Connection>, patience: Duration) -> Result<Answer, CallFailure> {
+        let answer = timeout(self.hold + patience, self.exchange(resting)).await;
+        answer.unwrap_or(Err(CallFailure::TimedOut))
     }
 }
 
-async fn next(
+/// Where the watch stands.
+struct Watch {
     address: SocketAddr,
-    connection: &mut Option<Connection>,
+    pace: Pace,
+    /// The version of the list that the driver holds.
     revision: Option<u64>,
-) -> Result<MemberList, &'static str> {
-    let path = match revision {
-        None => "/catalog/members".to_string(),
-        Some(revision) => format!("/catalog/members?from={revision}&hold_ms={}", HOLD.as_millis()),
-    };
-    let mut request = Request::new(Sending::empty());
-    *request.uri_mut() = path.parse().map_err(|_| "no such path")?;
-    if let Ok(host) = address.to_string().parse() {
-        request.headers_mut().insert(header::HOST, host);
+    /// The last call failed.
+    failing: bool,
+}
+
+/// Fetches the whole list, then watches it for ever, telling the driver what is new.
+pub async fn watch(address: SocketAddr, pace: Pace, inbox: Inbox) {
+    let mut watch = Watch { address, pace, revision: None, failing: false };
+    let mut resting = None;
+    loop {
+        let Answer { list, connection } = watch.next_answer(resting.take()).await;
+        resting = Some(connection);
+        if !watch.follows(&list) {
+            warn!(revision = list.revision, "discovery told what does not follow; asking for all");
+            watch.revision = None;
+            sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        watch.revision = Some(list.revision);
+        if inbox.send(Input::Members(list)).await.is_err() {
+            return;
+        }
     }
-    if connection.as_mut().is_none_or(|c| !c.is_usable()) {
-        let opened = timeout(PATIENCE, Connection::open(address, MAX_BODY)).await;
-        *connection = Some(opened.map_err(|_| "no connection in time")?.map_err(|_| "no connection")?);
+}
+
+impl Watch {
+    /// Guards against a stale answer that would undo a drain already told, and against changes to a list that is not
+    /// held. The whole list, asked for anew, is what discovery has.
+    fn follows(&self, list: &MemberList) -> bool {
+        match self.revision {
+            Some(held) => list.revision >= held,
+            None => list.complete,
+        }
     }
-    let Some(line) = connection.as_mut() else { return Err("no connection") };
-    let hold = if revision.is_some() { HOLD } else { Duration::ZERO };
-    let answer = timeout(hold + PATIENCE, line.call(request)).await;
-    let answer = answer.map_err(|_| "no answer in time")?.map_err(|_| "the connection broke")?;
-    if answer.status() != StatusCode::OK {
-        return Err("not answered with 200");
+
+    /// The first answer to any of as many calls as it takes.
+    async fn next_answer(&mut self, mut resting: Option<Connection>) -> Answer {
+        if resting.as_mut().is_some_and(|connection| !connection.is_usable()) {
+            resting = None;
+        }
+        let prompt = Call { address: self.address, since: self.revision, hold: Duration::ZERO };
+        let held = Call { hold: self.revision.map_or(Duration::ZERO, |_| self.pace.hold), ..prompt };
+        // Dropped with the answer, which ends the other calls and closes their connections.
+        let mut calls = JoinSet::new();
+        calls.spawn_local(held.make(resting, self.pace.patience));
+        let mut next_call = Instant::now() + held.hold + self.pace.silence;
+        loop {
+            tokio::select! {
+                biased;
+                Some(ended) = calls.join_next() => match ended {
+                    Ok(Ok(answer)) => {
+                        self.recovered();
+                        return answer;
+                    }
+                    Ok(Err(failure)) => {
+                        self.failed(&failure);
+                        next_call = next_call.min(Instant::now() + RETRY_PAUSE);
+                    }
+                    Err(error) => warn!(%error, "a call to discovery ended"),
+                },
+                () = sleep_until(next_call) => {
+                    if calls.len() < MOST_CALLS {
+                        calls.spawn_local(prompt.make(None, self.pace.patience));
+                    }
+                    next_call = Instant::now() + self.pace.silence;
+                }
+            }
+        }
+    }
+
+    fn failed(&mut self, failure: &CallFailure) {
+        if !std::mem::replace(&mut self.failing, true) {
+            warn!(problem = %failure, "discovery failed; the list stays as it is");
+        }
+    }
+
+    fn recovered(&mut self) {
+        if std::mem::take(&mut self.failing) {
+            info!("discovery answers again");
+        }
     }
-    serde_json::from_slice(answer.body()).map_err(|_| "not a list of members")
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -77,11 +77,11 @@
 impl std::error::Error for RunError {}
 
 /// Watches discovery, and after a change of the services' addresses asks both at the new ones.
-async fn follow(mut services: watch::Receiver<Services>, inbox: Inbox) {
+async fn follow(mut services: watch::Receiver<Services>, pace: discovery::Pace, inbox: Inbox) {
     loop {
         let discovery = services.borrow_and_update().discovery;
         tokio::select! {
-            () = discovery::watch(discovery, inbox.clone()) => return,
+            () = discovery::watch(discovery, pace, inbox.clone()) => return,
             changed = services.changed() => if changed.is_err() {
                 return;
             },
@@ -128,6 +128,7 @@
     let classes = classes.collect();
     let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
     let tick = config.site.settings.tick;
+    let pace = discovery::Pace::of(&config.site.settings);
     let last_moment = tick + tick;
     let (gateways, most_units) = (config.site.settings.gateways, config.site.settings.most_units);
     let names = rollout::Names {
@@ -200,7 +201,7 @@
             ends.end(End::Stopping);
         }
     });
-    tokio::task::spawn_local(follow(services, inbox.clone()));
+    tokio::task::spawn_local(follow(services, pace, inbox.clone()));
     let driving = tokio::task::spawn_local(driver.run());
     let last = Cell::new(0);
     let places = Rc::new(Share::new(sockets.clients));
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The gateway on loopback sockets: what real networks do to it that the simulator does not.
 mod branch;
 mod fleet;
+mod lists;
 mod operators;
 mod replacement;
 mod rollout;
@@ -359,10 +360,8 @@
         Discovery::start(&member("s-1", new.address, "ready")),
     );
     let (counter, other) = (counter(), counter());
-    let command = program(&config(first.stub.address, counter.address));
-    let path =
-        command.get_envs().find_map(|(k, v)| v.filter(|_| k == "NODE_CONFIG")).expect("set").to_owned();
-    let mut command = command;
+    let mut command = program(&config(first.stub.address, counter.address));
+    let path = config_path(&command);
     // The environment's address is the one from the start; after a reload the file's counts.
     command.env("NODE_DISCOVERY", first.stub.address.to_string());
     let node = Node::spawn(command);
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -139,6 +140,44 @@
     }
 }
 
+/// Holds back whoever waits until it is opened, for good.
+#[derive(Default)]
+pub struct Gate {
+    open: Mutex<bool>,
+    changed: Condvar,
+}
+
+impl Gate {
+    pub fn open(&self) {
+        *self.open.lock().expect("whole") = true;
+        self.changed.notify_all();
+    }
+    pub fn wait(&self) {
+        let open = self.open.lock().expect("whole");
+        let (_open, late) = self.changed.wait_timeout_while(open, LIMIT, |open| !*open).expect("whole");
+        assert!(!late.timed_out(), "a gate was not opened");
+    }
+}
+
+/// A call to discovery that watches for news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchCall {
+    /// The revision that the watcher holds.
+    pub from: u64,
+    /// How long it may be held.
+    pub hold: Duration,
+}
+
+impl WatchCall {
+    /// What a request to discovery watches for; `None` where it asks for the whole list.
+    pub fn of(request: &Message) -> Option<WatchCall> {
+        let query = request.line.split(' ').nth(1)?.split_once('?')?.1;
+        let number = |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.parse().ok());
+        let hold = Duration::from_millis(number("hold_ms=").expect("a hold"));
+        Some(WatchCall { from: number("from=").expect("a revision"), hold })
+    }
+}
+
 /// Discovery whose news a test sets: each watch is answered once there is something newer.
 #[derive(Clone)]
 pub struct Discovery {
@@ -151,14 +190,16 @@
         let news = Arc::new((Mutex::new((41, list(41, true, members))), Condvar::new()));
         let told = news.clone();
         let stub = Stub::start(move |request| {
-            let from = request.line.split("from=").nth(1).and_then(|r| r.split(['&', ' ']).next());
-            let from: u64 = from.map_or(0, |from| from.parse().expect("a revision"));
+            let Some(watch) = WatchCall::of(request) else {
+                return http("200 OK", &told.0.lock().expect("whole").1);
+            };
             let news = told.0.lock().expect("whole");
-            let (news, late) = told.1.wait_timeout_while(news, LIMIT, |n| n.0 == from).expect("whole");
-            if late.timed_out() {
-                return Reply::RawThenClose(String::new());
+            let waiting = told.1.wait_timeout_while(news, watch.hold, |n| n.0 == watch.from);
+            let (news, late) = waiting.expect("whole");
+            match late.timed_out() {
+                true => http("200 OK", &list(watch.from, false, "")),
+                false => http("200 OK", &news.1),
             }
-            http("200 OK", &news.1)
         });
         Discovery { stub, news }
     }
@@ -241,6 +282,12 @@
     command
 }
 
+/// Where a program that is to be started reads its configuration.
+pub fn config_path(command: &Command) -> PathBuf {
+    let path = command.get_envs().find_map(|(name, value)| value.filter(|_| name == "NODE_CONFIG"));
+    PathBuf::from(path.expect("set"))
+}
+
 impl Node {
     pub fn spawn(mut command: Command) -> Node {
         let mut child = command.spawn().expect("it starts");
