Write nothing for a client that left while the connection to a backend came up

Cause: whether a request is still wanted was looked at when its backend was chosen (`Driver::send`), and after that only by calling the attempt off, which the module does where the settings allow it. Where they do not, an attempt whose connection came up later was written for a client that had left, or had its answer.

Change: the request carries whether it is wanted, cleared as the driver hears that its client left or answers it; `Pool::exchange` looks at it as it does at drains, when the connection is there and nothing is written yet.

The four places that built a request to be sent on use one constructor.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -45,6 +45,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Payload,
+    /// Cleared once the request has its answer or its client has left: from then on nothing of it is sent.
+    pub wanted: Cell<bool>,
     /// Told of each attempt, where somebody has to know whether one may have run.
     pub tries: Option<Rc<Tries>>,
     /// Its work at the ledger, where a record is kept of it.
@@ -52,20 +54,19 @@
 }
 
 impl Forward {
+    /// A request as its client sent it, which nobody has to know of.
+    pub fn new(method: Method, uri: Uri, headers: HeaderMap, body: Payload) -> Forward {
+        Forward { method, uri, headers, body, wanted: Cell::new(true), tries: None, work: None }
+    }
     /// The same once more, for a body that is here whole; nothing of one that is still coming.
     pub fn again(&self) -> Forward {
         let body = match &self.body {
             Payload::Whole(whole) => whole.clone(),
             Payload::Upload(_) => Bytes::new(),
         };
-        Forward {
-            method: self.method.clone(),
-            uri: self.uri.clone(),
-            headers: self.headers.clone(),
-            body: Payload::Whole(body),
-            tries: self.tries.clone(),
-            work: self.work.clone(),
-        }
+        let (method, uri, headers) = (self.method.clone(), self.uri.clone(), self.headers.clone());
+        let forward = Forward::new(method, uri, headers, Payload::Whole(body));
+        Forward { tries: self.tries.clone(), work: self.work.clone(), ..forward }
     }
 }
 
@@ -324,8 +325,9 @@
                     }
                 }
             };
-            // Guards against sending to a backend that began to drain while the connection came up.
-            if !backend.open.get() {
+            // Guards against sending to a backend that began to drain while the connection came up, and for a client
+            // that left meanwhile, also where attempts must not be called off.
+            if !backend.open.get() || !request.wanted.get() {
                 return Outcome::Moot.into();
             }
             // Guards against an owner that was paused and has been taken over meanwhile.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -58,6 +58,11 @@
 }
 
 impl Open {
+    /// The way to the client, for the one answer; nothing more is sent for it.
+    fn take_reply(&mut self) -> Option<oneshot::Sender<Answer>> {
+        self.forward.wanted.set(false);
+        self.reply.take()
+    }
     fn over(&self) -> bool {
         self.reply.is_none() && !self.attempts.iter().any(|a| a.out)
     }
@@ -241,8 +246,7 @@
                 self.batch.push(Event::Request(arrival));
             }
             Input::Gone(id) => {
-                if let Some(open) = self.requests.get_mut(&id).filter(|open| open.reply.is_some()) {
-                    open.reply = None;
+                if self.requests.get_mut(&id).and_then(Open::take_reply).is_some() {
                     self.batch.push(Event::ClientGone(id));
                 }
             }
@@ -272,7 +276,7 @@
                     let ended = if part_of_aim <= 1.0 { Judgement::InTime } else { Judgement::Late };
                     self.arms.note(Seen { judged, at, ended, part_of_aim });
                 }
-                match ended.body.and_then(|body| Some((body, open.reply.take()?))) {
+                match ended.body.and_then(|body| Some((body, open.take_reply()?))) {
                     Some((Answered::Begun(mut download), reply)) => {
                         let inbox = self.inbox.clone();
                         download.tells(move |whole| tell(&inbox, Input::Passed(id, attempt, server, whole)));
--- a/src/net/driver/attempts.rs
+++ b/src/net/driver/attempts.rs
@@ -43,7 +43,7 @@
     }
 
     pub(super) fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(reply) = self.requests.get_mut(&id).and_then(|open| open.reply.take()) {
+        if let Some(reply) = self.requests.get_mut(&id).and_then(Open::take_reply) {
             let open = self.requests.get(&id);
             if let Some((open, judged)) = open.and_then(|open| Some((open, open.judged?))) {
                 let sent = open.attempts.len() > judged.before;
--- a/src/net/driver/tests.rs
+++ b/src/net/driver/tests.rs
@@ -27,15 +27,8 @@
     let (reply, answer) = oneshot::channel();
     let deadline = driver.clock.now() + Micros(4_000_000);
     let arrival = Arrival { id, deadline, units: 1.0, spread: 1, ..Arrival::default() };
-    let (headers, body) = (HeaderMap::new(), Payload::Whole(Bytes::new()));
-    let forward = Forward {
-        method: Method::GET,
-        uri: Uri::from_static("/api"),
-        headers,
-        body,
-        work: None,
-        tries: None,
-    };
+    let body = Payload::Whole(Bytes::new());
+    let forward = Forward::new(Method::GET, Uri::from_static("/api"), HeaderMap::new(), body);
     driver.take(Input::Taken(Box::new(Taken { arrival, forward, reply })));
     answer
 }
--- a/src/net/kept.rs
+++ b/src/net/kept.rs
@@ -40,5 +40,5 @@
     let mut asked = Asked::read(&method, uri.query(), &headers, front).ok()?;
     asked.budget = front.longest(asked.arrival.class).max(Micros(1));
     let body = Payload::Whole(Bytes::from(kept.body));
-    Some((asked, Forward { method, uri, headers, body, work: None, tries: None }))
+    Some((asked, Forward::new(method, uri, headers, body)))
 }
--- a/src/net/taking.rs
+++ b/src/net/taking.rs
@@ -125,7 +125,7 @@
     if let (Payload::Whole(whole), Some(peers), Some(key)) = (&body, &front.peers, asked.key) {
         let forward = |work| {
             let (method, uri, headers) = (head.method.clone(), uri.clone(), headers.clone());
-            Forward { method, uri, headers, body: Payload::Whole(whole.clone()), work, tries: None }
+            Forward { work, ..Forward::new(method, uri, headers, Payload::Whole(whole.clone())) }
         };
         let of = record_of(&asked, key, &forward(None), whole);
         let arrival = Arrival { deadline, ..asked.arrival };
@@ -135,7 +135,7 @@
         let answer = recorded(front, peers, (of, request), arrival, forward).await?;
         return Ok(answered(answer, ticket.unwrap_or_else(|| front.figures.taken(class))));
     }
-    let forward = Forward { method: head.method, uri, headers, body, work: None, tries: None };
+    let forward = Forward::new(head.method, uri, headers, body);
     let (reply, mut answer) = oneshot::channel();
     let (class, upload) = (asked.arrival.class, arrived.is_some());
     let taken = Taken { arrival: Arrival { id, deadline, upload, ..asked.arrival }, forward, reply };
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -26,14 +26,7 @@
 
 fn post() -> Forward {
     let (method, uri) = (hyper::Method::POST, "/api?customer=1".parse().expect("a path"));
-    Forward {
-        method,
-        uri,
-        headers: hyper::HeaderMap::new(),
-        body: Payload::Whole("hello".into()),
-        work: None,
-        tries: None,
-    }
+    Forward::new(method, uri, hyper::HeaderMap::new(), Payload::Whole("hello".into()))
 }
 
 /// An attempt that may take so long and is never called off.
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -447,3 +447,36 @@
         X-Call-Class: {class}\r\nX-Plan: team\r\nX-Budget-Ms: {budget_ms}\r\n{key}X-Quota: units=2,spread=2,first=0\r\n{body}{end}"
     )
 }
+
+/// A port at which connections come up late: its queue is full until the test accepts.
+pub struct LateListener {
+    listener: TcpListener,
+    filler: Option<TcpStream>,
+}
+
+impl LateListener {
+    pub fn start() -> LateListener {
+        let listener = on_runtime(async {
+            let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+            socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+            socket.listen(0).expect("it listens").into_std().expect("a socket")
+        });
+        listener.set_nonblocking(false).expect("an option");
+        let address = listener.local_addr().expect("bound");
+        LateListener { listener, filler: Some(TcpStream::connect(address).expect("the one that fits")) }
+    }
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("bound")
+    }
+    /// Lets connections come up. Returns all that comes over the next one until its end.
+    pub fn bytes_of_next_connection(mut self) -> Vec<u8> {
+        let filler = self.filler.take();
+        drop(self.listener.accept().expect("the filler"));
+        drop(filler);
+        let (mut stream, _) = self.listener.accept().expect("a connection");
+        stream.set_read_timeout(Some(LIMIT)).expect("an option");
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).expect("its end");
+        bytes
+    }
+}
