Keep listening after SIGTERM until whoever was accepted has a place

Cause: 0.6 s after SIGTERM the accept loop ended whatever it held (`serve` in src/net/server.rs): a client that had been accepted and waited for a place, and those behind it in the queue, were closed with their requests unanswered.

Change: the loop goes on while somebody waits for a place, and what is unanswered is failed at its time in it too.

Measured: closing::at_sigterm_whoever_waits_for_a_place_is_still_served: with the sources before "client 0 was closed without an answer", with these all four are served.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -91,6 +91,8 @@
     let crowd = Rc::new(Crowd::new(front.duty.clone()));
     let mut state = front.duty.changes();
     let stops = || front.duty.state().end > drain::End::Open;
+    let ending = || front.duty.state().end == drain::End::Ending;
+    let ending_at = |last_call: Option<Instant>| last_call.unwrap_or_else(Instant::now) + LAST_WAIT;
     let mut last_call = stops().then(Instant::now);
     let mut sweep = interval(SWEEP_EVERY);
     // Accepted, without a place yet.
@@ -129,22 +131,25 @@
                     last_call = Some(Instant::now());
                 }
             }
+            () = sleep_until(ending_at(last_call)), if last_call.is_some() && !ending() => {
+                front.duty.end(drain::End::Ending);
+            }
             // Where another process takes the new connections, none is left to wait for.
             () = std::future::ready(()), if !room && last_call.is_some() && front.duty.is_replaced() => break,
-            () = sleep_until(last_call.unwrap_or_else(Instant::now) + LAST_CALL), if last_call.is_some() => break,
+            // Not before all that was accepted has its place: a client that waits for one may have sent its request.
+            () = sleep_until(last_call.unwrap_or_else(Instant::now) + LAST_CALL),
+                if !room && last_call.is_some() => break,
         }
     }
     drop(listener);
     let mut empty = pin!(places.empty());
-    let last_call = last_call.unwrap_or_else(Instant::now);
+    let last_call = last_call.or_else(|| Some(Instant::now()));
     loop {
         tokio::select! {
             () = &mut empty => return,
             _ = sweep.tick() => crowd.sweep(),
-            () = sleep_until(last_call + LAST_WAIT), if front.duty.state().end < drain::End::Ending => {
-                front.duty.end(drain::End::Ending);
-            }
-            () = sleep_until(last_call + LAST_ANSWER) => return warn!("some connections were still open"),
+            () = sleep_until(ending_at(last_call)), if !ending() => front.duty.end(drain::End::Ending),
+            () = sleep_until(last_call.unwrap_or_else(Instant::now) + LAST_ANSWER) => return warn!("some connections were still open"),
         }
     }
 }
--- /dev/null
+++ b/tests/sockets/closing.rs
@@ -0,0 +1,35 @@
+//! The moments in which a client's connection is closed, at the end of a process above all.
+
+use crate::world::*;
+use std::time::Duration;
+
+/// A gateway whose limits leave few places for clients, and how many.
+fn small_gateway(discovery: &Discovery, counter: &Stub) -> (Node, usize) {
+    let text =
+        config(discovery.stub.address, counter.address).replace(r#""sockets":1024"#, r#""sockets":64"#);
+    let node = Node::spawn(program(&text));
+    node.wait_ready();
+    (node, 32)
+}
+
+#[test]
+fn at_sigterm_whoever_waits_for_a_place_is_still_served() {
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let (discovery, counter) = (Discovery::start(&member("s-1", backend.address, "ready")), counter());
+    let (mut node, places) = small_gateway(&discovery, &counter);
+    // Bodies that do not come to their end hold all places for more than a second.
+    let unfinished = request("buy", 4000);
+    let unfinished = &unfinished[..unfinished.len() - 3];
+    let mut holders: Vec<Client> = (0..places).map(|_| node.client()).collect();
+    holders.iter_mut().for_each(|holder| holder.send(unfinished));
+    std::thread::sleep(Duration::from_millis(300));
+    let mut waiting: Vec<Client> = (0..4).map(|_| node.client()).collect();
+    waiting.iter_mut().for_each(|client| client.send(&request("once", 4000)));
+    node.terminate();
+    for (number, client) in waiting.iter_mut().enumerate() {
+        let answer =
+            client.answer().unwrap_or_else(|| panic!("client {number} was closed without an answer"));
+        assert_eq!(answer.status(), 200, "client {number}");
+    }
+    assert_eq!(node.ended(), Some(0));
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The gateway on loopback sockets: what real networks do to it that the simulator does not.
 mod branch;
+mod closing;
 mod departures;
 mod fleet;
 mod lists;
