Fail what is open after SIGTERM by the longest deadline of the settings

Cause: what was unanswered was failed 3.2 s after SIGTERM (LAST_WAIT in src/net/server.rs). SIGKILL may come after the longest deadline and 0.7 s, so with deadlines below 2.5 s it came first, and a request that came late on a connection kept open till then had no answer. Found by reading for crossings.

Change: min(longest deadline, 3 s) + 0.2 s; for this site as before.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,7 +3,7 @@
 use super::crowd::{Busy, Crowd, SWEEP_EVERY};
 use super::download::{BrokeOff, Giving};
 use super::drain::{self, Duty};
-use super::driver::{Clock, Inbox};
+use super::driver::{duration, Clock, Inbox};
 use super::figures::{End, Figures, Ticket};
 use super::memory::Memory;
 use super::peers::Peers;
@@ -38,8 +38,10 @@
 const MAKE_ROOM_EVERY: Duration = Duration::from_millis(2);
 /// How long after SIGTERM new connections are taken; they go on coming for 0.4 s.
 const LAST_CALL: Duration = Duration::from_millis(600);
-/// After SIGTERM what is still unanswered by then is failed; SIGKILL comes 3.7 s on at the earliest.
-const LAST_WAIT: Duration = Duration::from_millis(3200);
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as this where it is longer, and 0.7 s.
+const LONGEST_AWAITED: Duration = Duration::from_secs(3);
+/// What is still unanswered so long after the longest deadline is failed.
+const LAST_WAIT: Duration = Duration::from_millis(200);
 /// Long answers that have begun go on after that. To end before them would cut them off, so it takes SIGKILL or
 /// this.
 const LAST_ANSWER: Duration = Duration::from_secs(60);
@@ -79,6 +81,11 @@
     pub fn class_name(&self, class: ClassId) -> &str {
         self.classes.iter().find(|(_, (id, ..))| *id == class).map_or("", |(name, _)| name.as_str())
     }
+    /// How long after SIGTERM what is still unanswered is failed: well before SIGKILL may come.
+    fn last_wait(&self) -> Duration {
+        let longest = self.classes.values().map(|(_, _, longest)| duration(*longest)).max();
+        longest.unwrap_or_default().min(LONGEST_AWAITED) + LAST_WAIT
+    }
     /// The longest that a client of a class waits.
     pub fn longest(&self, class: ClassId) -> Micros {
         self.classes.values().find(|(id, ..)| *id == class).map_or(Micros(0), |(_, _, longest)| *longest)
@@ -92,7 +99,7 @@
     let mut state = front.duty.changes();
     let stops = || front.duty.state().end > drain::End::Open;
     let ending = || front.duty.state().end == drain::End::Ending;
-    let ending_at = |last_call: Option<Instant>| last_call.unwrap_or_else(Instant::now) + LAST_WAIT;
+    let ending_at = |last_call: Option<Instant>| last_call.unwrap_or_else(Instant::now) + front.last_wait();
     let mut last_call = stops().then(Instant::now);
     let mut sweep = interval(SWEEP_EVERY);
     // Accepted, without a place yet.
--- a/tests/sockets/closing.rs
+++ b/tests/sockets/closing.rs
@@ -1,7 +1,7 @@
 //! The moments in which a client's connection is closed, at the end of a process above all.
 
 use crate::world::*;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A gateway whose limits leave few places for clients, and how many.
 fn small_gateway(discovery: &Discovery, counter: &Stub) -> (Node, usize) {
@@ -33,3 +33,27 @@
     }
     assert_eq!(node.ended(), Some(0));
 }
+
+#[test]
+fn what_comes_late_after_sigterm_is_answered_before_the_process_is_killed() {
+    let backend = Stub::start(|_| Reply::Silence);
+    let (discovery, counter) = (Discovery::start(&member("s-1", backend.address, "ready")), counter());
+    // The longest deadline is 1.5 s, so the process may be killed 2.2 s after SIGTERM.
+    let text = config(discovery.stub.address, counter.address);
+    let text = text.replace(r#""deadline":4000000"#, r#""deadline":1500000"#);
+    let text =
+        text.replace(r#""deadline":8000000,"on_time":2500000"#, r#""deadline":1500000,"on_time":1000000"#);
+    let mut node = Node::spawn(program(&text));
+    node.wait_ready();
+    let mut resting = node.client();
+    node.terminate();
+    let stopped = Instant::now();
+    // Not before its process has begun to fail what is open, and while this connection may still be silent.
+    std::thread::sleep(Duration::from_millis(1800));
+    let asked = Instant::now();
+    resting.send(&request("once", 1500));
+    assert_eq!(resting.answer().expect("an answer").status(), 502);
+    let (took, after) = (asked.elapsed(), stopped.elapsed());
+    assert!(took < Duration::from_millis(1000), "answered after {took:?}, {after:?} after SIGTERM");
+    assert_eq!(node.ended(), Some(0));
+}
