Let a connection's last answer arrive where bytes behind it are unread

Cause: after an answer with `Connection: close` the socket was closed at once (`connection` in src/net/server.rs). Where the client had sent more, the kernel resets a connection closed over unread bytes, and what was not yet delivered of the answer goes with it.

Not where no place is free for other clients, and not for resting connections, which have no answer under way: there a reset tells the client that its request was not read.

--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -2,13 +2,14 @@
 //! first when room is short.
 
 use super::drain::Duty;
+use rustix::net::{shutdown, Shutdown};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -97,7 +98,7 @@
     }
 
     /// A connection was accepted.
-    pub fn welcome(self: &Rc<Crowd>, stream: TcpStream) -> (Rc<Peer>, Socket) {
+    pub fn welcome(self: &Rc<Crowd>, stream: Rc<TcpStream>) -> (Rc<Peer>, Socket) {
         let now = Instant::now();
         self.last.set(self.last.get() + 1);
         let peer = Rc::new(Peer {
@@ -208,7 +209,7 @@
 
 /// A client's socket, which tells the crowd what it carries.
 pub struct Socket {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     peer: Rc<Peer>,
     crowd: Rc<Crowd>,
     /// Runs while the client takes nothing.
@@ -216,6 +217,19 @@
 }
 
 impl Socket {
+    fn poll_write_with(
+        &self,
+        cx: &mut Context,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
     fn wrote(&mut self, done: Poll<io::Result<usize>>, cx: &mut Context) -> Poll<io::Result<usize>> {
         self.peer.unwritten.set(true);
         if done.is_ready() {
@@ -237,19 +251,25 @@
 }
 
 impl AsyncRead for Socket {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let done = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let done = loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => break done.map(drop),
+            }
+        };
         if buf.filled().len() > before {
             self.crowd.heard(&self.peer);
         }
-        done
+        Poll::Ready(done)
     }
 }
 
 impl AsyncWrite for Socket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let done = self.poll_write_with(cx, |stream| stream.try_write(buf));
         self.wrote(done, cx)
     }
     fn poll_write_vectored(
@@ -257,18 +277,18 @@
         cx: &mut Context,
         bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let done = self.poll_write_with(cx, |stream| stream.try_write_vectored(bufs));
         self.wrote(done, cx)
     }
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
     /// Comes when all that was to be written is.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
         self.peer.unwritten.set(false);
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Poll::Ready(Ok(()))
     }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(shutdown(&*self.stream, Shutdown::Write).map_err(io::Error::from))
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod asked;
 pub mod backend;
 mod branch;
+mod closing;
 pub mod config;
 pub mod counter;
 mod crowd;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,5 +1,6 @@
 //! Clients: taking their requests, answering them, and `/_health`.
 
+use super::closing::end_after_answer;
 use super::crowd::{Busy, Crowd, SWEEP_EVERY};
 use super::download::{BrokeOff, Giving};
 use super::drain::{self, Duty};
@@ -166,7 +167,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         debug!(%error, "a client's connection stays without TCP_NODELAY");
     }
-    let (peer, socket) = crowd.welcome(stream);
+    let stream = Rc::new(stream);
+    let (peer, socket) = crowd.welcome(stream.clone());
     let service = service_fn(|request| {
         let (front, busy) = (front.clone(), crowd.busy(&peer));
         async move { Ok::<_, Infallible>(respond(request, &front, busy).await) }
@@ -175,12 +177,23 @@
         .max_buf_size(front.memory.buffer())
         .header_read_timeout(None)
         .serve_connection(TokioIo::new(socket), service);
-    tokio::select! {
+    let had_last_answer = tokio::select! {
         biased;
-        done = connection => if let Err(error) = done {
-            debug!(%error, "a client's connection ended");
-        },
-        () = peer.closed() => debug!("a quiet client's connection is closed"),
+        done = connection => {
+            if let Err(error) = done {
+                debug!(%error, "a client's connection ended");
+            }
+            true
+        }
+        () = peer.closed() => {
+            debug!("a quiet client's connection is closed");
+            false
+        }
+    };
+    // Where no answer can be under way there is nothing to guard: bytes that cross the close are left unread, and the
+    // reset tells the client that it may send them once more.
+    if had_last_answer && front.places.free() > 0 {
+        end_after_answer(&stream).await;
     }
 }
 
--- a/tests/sockets/closing.rs
+++ b/tests/sockets/closing.rs
@@ -1,6 +1,8 @@
 //! The moments in which a client's connection is closed, at the end of a process above all.
 
 use crate::world::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// A gateway whose limits leave few places for clients, and how many.
@@ -34,6 +36,44 @@
     assert_eq!(node.ended(), Some(0));
 }
 
+/// A client whose machine takes little of an answer before the client reads it: the rest waits at the gateway.
+fn client_with_small_window(address: SocketAddr) -> Client {
+    on_runtime(async {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("an option");
+        let stream = socket.connect(address).await.expect("it listens").into_std().expect("a socket");
+        stream.set_nonblocking(false).expect("an option");
+        over(stream)
+    })
+}
+
+#[test]
+fn the_last_answer_is_whole_though_the_client_has_sent_more() {
+    const LENGTH: usize = 24 * 1024;
+    let release = Arc::new(Gate::default());
+    let gate = release.clone();
+    let backend = Stub::start(move |_| {
+        gate.wait();
+        http("200 OK", &"a".repeat(LENGTH))
+    });
+    let (discovery, counter) = (Discovery::start(&member("s-1", backend.address, "ready")), counter());
+    let mut node = Node::start(&discovery, &counter);
+    let mut client = client_with_small_window(node.address);
+    client.send(&request("look", 4000));
+    backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    // From now on every answer is the last on its connection. What the client sends behind its request stays unread.
+    node.terminate();
+    client.send(&request("look", 4000).repeat(400));
+    release.open();
+    // The gateway closes its side while most of the answer is still to be delivered.
+    std::thread::sleep(Duration::from_millis(500));
+    let answer = client.answer().expect("a whole answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert_eq!(answer.body.len(), LENGTH);
+    assert_eq!(backend.requests().len(), 1, "nothing that came behind it is sent on");
+    assert_eq!(node.ended(), Some(0));
+}
+
 #[test]
 fn what_comes_late_after_sigterm_is_answered_before_the_process_is_killed() {
     let backend = Stub::start(|_| Reply::Silence);
