Notice a client's close also behind bytes that are not read yet

Cause: hyper reads nothing behind an open request once its buffer holds something, so the end of the stream behind such bytes was not seen, and the request of a client that had left went on to its deadline, further attempts included. Found by reading for crossings.

Change: beside the protocol machine the socket's own state is looked at, by its readiness, every 20 ms where bytes are unread.

Measured: departures::a_client_that_leaves_behind_pipelined_requests_is_missed: noticed after 3.98 s with the sources before, which is the request's deadline; within the test's 2.5 s with these.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,6 @@
 //! Clients: taking their requests, answering them, and `/_health`.
 
-use super::closing::end_after_answer;
+use super::closing::{end_after_answer, ended_by_client};
 use super::crowd::{Busy, Crowd, SWEEP_EVERY};
 use super::download::{BrokeOff, Giving};
 use super::drain::{self, Duty};
@@ -189,6 +189,10 @@
             debug!("a quiet client's connection is closed");
             false
         }
+        () = ended_by_client(&stream) => {
+            debug!("a client ended its connection behind bytes that are not read");
+            false
+        }
     };
     // Where no answer can be under way there is nothing to guard: bytes that cross the close are left unread, and the
     // reset tells the client that it may send them once more.
--- a/tests/sockets/departures.rs
+++ b/tests/sockets/departures.rs
@@ -1,7 +1,7 @@
 //! Clients that leave while something of their request is still to be done.
 
 use crate::world::*;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Settings in which attempts must not be called off, and connections may take long to come up.
 fn without_cancel(config: &str) -> String {
@@ -32,3 +32,24 @@
         assert_eq!(node.figure("attempts"), 0);
     }
 }
+
+#[test]
+fn a_client_that_leaves_behind_pipelined_requests_is_missed() {
+    let backend = Stub::start(|_| Reply::Silence);
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let counter = counter();
+    let node = Node::start(&discovery, &counter);
+    let mut client = node.client();
+    // More than one request, and more than any buffer of the gateway's holds.
+    client.send(&request("once", 4000));
+    backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    for _ in 0..200 {
+        client.send(&request("once", 4000));
+    }
+    let left_at = Instant::now();
+    drop(client);
+    backend.wait_for("the attempt's connection to close", |log| log.closed == log.opened);
+    let noticed = left_at.elapsed();
+    assert!(noticed < Duration::from_millis(2500), "noticed after {noticed:?}, not before its time was up");
+    assert_eq!(backend.requests().len(), 1, "nothing more goes out");
+}
