Repeat a keyed request only where its connection comes up within the window

Cause: whether a repeat is still dropped by its backends was asked when the repeat was decided on (`in_window` in src/rules/attempts.rs); its first byte may go out as much later as a connection may take to come up, 0.25 s by the settings, and then past the window. Found by reading for crossings.

Change: the module knows that time from the settings and leaves it before the window's end. Refusals go by the window as before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -161,6 +161,8 @@
     pub most_units: f64,
     /// List changes must be asked for.
     pub must_subscribe: bool,
+    /// An attempt whose connection is not made by then has failed; so much later than it is decided on one may go out.
+    pub connect_timeout: Micros,
     /// How long past its deadline a final answer still counts.
     pub answer_slack: Micros,
     /// A server starts at no less than this part of its capacity.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -138,8 +138,6 @@
     pub(crate) sockets: SocketLimits,
     /// The machine's memory, in millions of bytes.
     pub(crate) memory_mb: f64,
-    /// An attempt's connection must be made within this.
-    pub(crate) dial_timeout: std::time::Duration,
     /// A backend closes a connection that stood idle for this long.
     pub(crate) conn_idle: std::time::Duration,
 }
@@ -279,7 +277,6 @@
             folder: None,
             seed,
             known: document.known,
-            dial_timeout: span("bounds.dial_timeout", 250_000)?,
             conn_idle: span("bounds.conn_idle", 15_000_000)?,
             site,
             sockets: SocketLimits::of(document.limits.sockets),
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -110,8 +110,9 @@
         figures: Rc<Figures>,
         memory: Rc<Memory>,
     ) -> Result<(Driver, Orders), ConfigError> {
-        let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, fleet, .. } = config;
+        let Config { site, counter, sockets, seed, known, conn_idle, fleet, .. } = config;
         let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
+        let connect_timeout = duration(site.settings.connect_timeout);
         let (inbox, inputs) = mpsc::channel(INBOX);
         let (ordering, orders) = mpsc::channel(ORDERS);
         let counter =
@@ -125,7 +126,7 @@
             inbox,
             inputs,
             orders,
-            pool: Rc::new(Pool::new(sockets.backends, dial_timeout, conn_idle, figures, memory.clone())),
+            pool: Rc::new(Pool::new(sockets.backends, connect_timeout, conn_idle, figures, memory.clone())),
             memory,
             counter: counter.map(Rc::new),
             order: Order::default(),
--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -172,7 +172,7 @@
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
             Effect::Keyed => ran.all(|a| {
-                self.in_window(class, a)
+                self.in_window(class, a, self.set.connect_timeout)
                     && self.servers.get(&a.server).is_some_and(|first| match class.group {
                         Group::All => true,
                         Group::Zone => first.zone == s.zone,
@@ -182,9 +182,10 @@
         }
     }
 
-    /// Repeats of this attempt are dropped still: its window counts from the send, less a tick on the way.
-    fn in_window(&self, class: &Class, a: &Attempt) -> bool {
-        self.now + self.set.tick + self.set.tick < a.sent + class.window
+    /// Repeats of this attempt are dropped still, also those that go out so much later: its window counts
+    /// from the send, less a tick on the way.
+    fn in_window(&self, class: &Class, a: &Attempt, later: Micros) -> bool {
+        self.now + later + self.set.tick + self.set.tick < a.sent + class.window
     }
 
     /// Whether trying again is harmless for the client.
@@ -194,7 +195,9 @@
         !r.streaming
             && match class.effect {
                 Effect::Safe => true,
-                Effect::Keyed => ran.all(|a| class.group == Group::All && self.in_window(class, a)),
+                Effect::Keyed => {
+                    ran.all(|a| class.group == Group::All && self.in_window(class, a, Micros(0)))
+                }
                 Effect::Unsafe => ran.next().is_none(),
             }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -167,6 +167,7 @@
             count_timeout: f.micros_or("specifics.count_limit", 0)?,
             most_units: f.real_or("specifics.units_top", 1.0)?,
             must_subscribe: f.pairs.get("membership_mode") == Some(&"subscribe"),
+            connect_timeout: f.micros_or("bounds.dial_timeout", 250_000)?,
             answer_slack: f.micros_or("rules.answer_slack", 0)?,
             cold_from: f.real_or("rules.cold_from", 1.0)?,
             cold: f.micros_or("rules.cold", 0)?,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -73,6 +73,26 @@
     assert!(failed(&out, id) && sends(&out).is_empty());
 }
 
+#[test]
+fn a_keyed_repeat_leaves_time_for_its_connection_to_come_up() {
+    let connect_timeout = 250 * MS;
+    let set = Settings { connect_timeout: Micros(connect_timeout), ..settings() };
+    let window = set.classes[3].window.0;
+    let mut repeated = 0;
+    for failed_after in (0..window).step_by(10 * MS as usize) {
+        let mut rig = Rig::new(set.clone(), 4);
+        let (id, server) = rig.sent(3);
+        rig.pass(failed_after);
+        let out = rig.ended(id, 0, server, Outcome::Error);
+        if !sends(&out).is_empty() {
+            repeated += 1;
+            let latest_write = failed_after + connect_timeout;
+            assert!(latest_write < window, "sent after {failed_after} us, written after {latest_write}");
+        }
+    }
+    assert!(repeated > 50, "repeats go on in the first part of the window: {repeated}");
+}
+
 #[test]
 fn a_safe_request_may_be_refused_with_an_attempt_out() {
     let mut rig = Rig::new(settings(), 1);
