Take an answer that is here when its time is up, and write nothing in that moment

Cause: in `Pool::attempt` the end of an attempt's time was looked at before its answer, so that an answer which came in the same turn of the loop was thrown away as a time-out. Found by reading for crossings.

Change: the answer first; and a connection that comes up as the time ends is not written to.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -288,14 +288,15 @@
             self.evict();
         }
         let (wrote, whole_at) = (Cell::new(false), Cell::new(None));
+        // An answer that is here when the time is up is an answer.
         let ended = tokio::select! {
             biased;
             _ = called_off => Outcome::Cancelled.into(),
+            ended = self.exchange(backend, request, until, place, &wrote, &whole_at) => ended,
             () = sleep_until(until) => match wrote.get() {
                 true => Outcome::Timeout.into(),
                 false => Outcome::ConnectFailed.into(),
             },
-            ended = self.exchange(backend, request, until, place, &wrote, &whole_at) => ended,
         };
         Ended { whole_at: whole_at.get(), ..ended }
     }
@@ -334,6 +335,10 @@
             if request.work.as_ref().is_some_and(|work| !work.may_act()) {
                 return Outcome::Moot.into();
             }
+            // Guards against writing in the moment in which the time is up.
+            if Instant::now() >= until {
+                return Outcome::Moot.into();
+            }
             let idle = connection.idle_since.elapsed();
             let Some(call) = request.request(until) else { return Outcome::Moot.into() };
             // From here on the attempt may have run, for all that a caller who stops waiting can know.
