Give the request that goes on to backends a module of its own

Need: src/net/backend.rs held two subjects, the request with its attempts and the pool of connections, in 492 lines.

Change: `Forward`, `Payload`, `Tries` and what removes hop-by-hop headers stand in src/net/forward.rs; nothing but the place of the code changed.

--- a/src/net/asked.rs
+++ b/src/net/asked.rs
@@ -1,6 +1,6 @@
 //! What a request's head says of it, checked against the site.
 
-use super::backend::BUDGET;
+use super::forward::BUDGET;
 use super::server::{Front, Malformed};
 use crate::api::*;
 use hyper::header::{HeaderMap, HeaderName};
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -2,30 +2,27 @@
 
 use super::download::{Answered, Download};
 use super::figures::Figures;
+use super::forward::{Forward, Payload};
 use super::http::{CallError, Connection, MAX_BODY};
 use super::memory::Memory;
 use super::share::Share;
 use super::sparing::Sparing;
-use super::upload::{Sending, Upload};
-use super::work::Work;
 use crate::api::{Outcome, Report};
 use crate::settings::note;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::{Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{oneshot, Notify, OwnedSemaphorePermit};
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
+use tokio::time::{sleep_until, timeout, Instant};
 use tracing::warn;
 
-/// How long the client waits; to a backend: how long this gateway does.
-pub const BUDGET: HeaderName = HeaderName::from_static("x-budget-ms");
 const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
 const LOAD_REPORT: HeaderName = HeaderName::from_static("x-load-report");
 
@@ -35,120 +32,6 @@
 /// An answer that does not say how long it is goes on after this, if it has not come to its end.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
-/// A client's request as it goes on to backends.
-pub struct Forward {
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// Its headers, without those that hold for the client's connection alone.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Payload,
-    /// Cleared once the request has its answer or its client has left: from then on nothing of it is sent.
-    pub wanted: Cell<bool>,
-    /// Told of each attempt, where somebody has to know whether one may have run.
-    pub tries: Option<Rc<Tries>>,
-    /// Its work at the ledger, where a record is kept of it.
-    pub work: Option<Rc<Work>>,
-}
-
-impl Forward {
-    /// A request as its client sent it, which nobody has to know of.
-    pub fn new(method: Method, uri: Uri, headers: HeaderMap, body: Payload) -> Forward {
-        Forward { method, uri, headers, body, wanted: Cell::new(true), tries: None, work: None }
-    }
-    /// The same once more, for a body that is here whole; nothing of one that is still coming.
-    pub fn again(&self) -> Forward {
-        let body = match &self.body {
-            Payload::Whole(whole) => whole.clone(),
-            Payload::Upload(_) => Bytes::new(),
-        };
-        let (method, uri, headers) = (self.method.clone(), self.uri.clone(), self.headers.clone());
-        let forward = Forward::new(method, uri, headers, Payload::Whole(body));
-        Forward { tries: self.tries.clone(), work: self.work.clone(), ..forward }
-    }
-}
-
-/// Attempts of one request that may have run. An answer may come before the end of an attempt that is called off: what is
-/// out may have run as well.
-#[derive(Debug, Default)]
-pub struct Tries {
-    out: Cell<usize>,
-    ran: Cell<bool>,
-    over: Notify,
-}
-
-impl Tries {
-    /// Such that have run already, for all that is known.
-    pub fn that_ran(ran: bool) -> Rc<Tries> {
-        Rc::new(Tries { ran: Cell::new(ran), ..Tries::default() })
-    }
-    /// One is about to be sent.
-    pub fn begins(&self) {
-        self.out.set(self.out.get() + 1);
-    }
-    /// One has ended.
-    pub fn ended(&self, outcome: Outcome) {
-        self.out.set(self.out.get().saturating_sub(1));
-        self.ran.set(self.ran.get() || !outcome.never_ran());
-        self.over.notify_waiters();
-    }
-    /// Whether one may have run, once all have ended, or after so long what is known then.
-    pub async fn may_have_run(&self, patience: Duration) -> bool {
-        let until = Instant::now() + patience;
-        loop {
-            let over = self.over.notified();
-            if self.out.get() == 0 || timeout_at(until, over).await.is_err() {
-                return self.ran.get() || self.out.get() > 0;
-            }
-        }
-    }
-}
-
-/// The body of a request that goes on to backends.
-pub enum Payload {
-    /// All of it is here, for as many attempts as it takes.
-    Whole(Bytes),
-    /// It is still coming, for one attempt.
-    Upload(RefCell<Option<Box<Upload>>>),
-}
-
-impl Forward {
-    /// The call to a backend; none if the body has gone to another.
-    fn request(&self, until: Instant) -> Option<Request<Sending>> {
-        let body = match &self.body {
-            Payload::Whole(body) => Sending::Whole(Full::new(body.clone())),
-            Payload::Upload(upload) => Sending::Upload(upload.take()?),
-        };
-        let mut request = Request::new(body);
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        // The time of an upload begins with its last byte; until then the client's own word stands.
-        if matches!(self.body, Payload::Whole(_)) {
-            let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-            request.headers_mut().insert(BUDGET, HeaderValue::from(left));
-        }
-        Some(request)
-    }
-}
-
-/// Removes what holds for one connection alone; framing is the next connection's own.
-pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    const NAMES: [HeaderName; 7] = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::TRANSFER_ENCODING,
-        header::TE,
-        header::TRAILER,
-        header::UPGRADE,
-        header::EXPECT,
-    ];
-    NAMES.iter().for_each(|name| drop(headers.remove(name)));
-    headers.remove("keep-alive");
-}
-
 /// One backend as the list has it now.
 #[derive(Debug)]
 pub struct Backend {
@@ -458,6 +341,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use hyper::header::HeaderValue;
 
     fn read(text: &str) -> (Report, bool) {
         let mut headers = HeaderMap::new();
--- a/src/net/branch.rs
+++ b/src/net/branch.rs
@@ -2,9 +2,9 @@
 
 use super::arms::Arms;
 use super::asked::Asked;
-use super::backend::{Forward, Payload, Tries};
 use super::driver::Answer;
 use super::finish::{go_on, Gone};
+use super::forward::{Forward, Payload, Tries};
 use super::kept;
 use super::peers::Peers;
 use super::recorded::{record_of, recorded};
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -8,12 +8,13 @@
 pub use words::{tell, Answer, Clock, Control, Inbox, Input, Orders, Taken};
 
 use super::arms::{Arms, Judged, Seen};
-use super::backend::{Backend, Ended, Forward, Pool};
+use super::backend::{Backend, Ended, Pool};
 use super::config::{Config, ConfigError, Member, MemberList, Phase};
 use super::counter::{Counted, Counter, Order};
 use super::download::{Answered, Giving};
 use super::drain::Duty;
 use super::figures::{Figures, Fleet};
+use super::forward::Forward;
 use super::handover::{Will, Word};
 use super::memory::Memory;
 use crate::api::*;
--- a/src/net/driver/tests.rs
+++ b/src/net/driver/tests.rs
@@ -1,6 +1,6 @@
 //! The driver's table under what comes late, twice or from a client that has left.
 
-use super::super::backend::Payload;
+use super::super::forward::Payload;
 use super::*;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
--- a/src/net/finish.rs
+++ b/src/net/finish.rs
@@ -2,8 +2,8 @@
 //! that they ran and their answer is there for whoever asks later.
 
 use super::asked::Asked;
-use super::backend::{Forward, Payload};
 use super::driver::Answer;
+use super::forward::{Forward, Payload};
 use super::kept;
 use super::peers::Peers;
 use super::recorded::{earlier, record_of};
--- a/src/net/kept.rs
+++ b/src/net/kept.rs
@@ -1,7 +1,7 @@
 //! A request as gateways keep it for each other: what a backend is sent, and no more.
 
 use super::asked::Asked;
-use super::backend::{Forward, Payload};
+use super::forward::{Forward, Payload};
 use super::server::Front;
 use crate::api::Micros;
 use bytes::Bytes;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 pub mod driver;
 pub mod figures;
 mod finish;
+pub mod forward;
 pub mod handover;
 pub mod http;
 mod inherit;
--- a/src/net/recorded.rs
+++ b/src/net/recorded.rs
@@ -1,9 +1,9 @@
 //! A request of which the ledger keeps a record: begun here, joined, answered from its record, or taken over.
 
 use super::asked::Asked;
-use super::backend::Forward;
 use super::download::Giving;
 use super::driver::Answer;
+use super::forward::Forward;
 use super::peers::Peers;
 use super::server::{Front, Malformed};
 use super::taking::carried;
--- a/src/net/taking.rs
+++ b/src/net/taking.rs
@@ -1,12 +1,12 @@
 //! One request of a client's, from its body to its answer: on its way through the driver, and at the ledger.
 
 use super::asked::Asked;
-use super::backend::{strip_hop_by_hop, Forward, Payload};
 use super::branch::accepted;
 use super::download::Giving;
 use super::drain;
 use super::driver::{tell, Answer, Inbox, Input, Taken};
 use super::figures::{End, Ticket};
+use super::forward::{strip_hop_by_hop, Forward, Payload};
 use super::http::MAX_BODY;
 use super::kept::kept;
 use super::memory::Memory;
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -3,8 +3,9 @@
 mod world;
 
 use starlinghill::api::Outcome;
-use starlinghill::net::backend::{Backend, Ended, Forward, Payload, Pool};
+use starlinghill::net::backend::{Backend, Ended, Pool};
 use starlinghill::net::config::SocketLimits;
+use starlinghill::net::forward::{Forward, Payload};
 use starlinghill::net::memory::Memory;
 use std::cell::Cell;
 use std::rc::Rc;
