--- a/tests/sockets/closing.rs
+++ b/tests/sockets/closing.rs
@@ -62,7 +62,7 @@
     client.send(&request("look", 4000));
     backend.wait_for("the attempt", |log| log.requests.len() == 1);
     // From now on every answer is the last on its connection. What the client sends behind its request stays unread.
-    node.terminate();
+    node.terminate_and_wait();
     client.send(&request("look", 4000).repeat(400));
     release.open();
     // The gateway closes its side while most of the answer is still to be delivered.
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -355,6 +355,15 @@
     pub fn terminate(&self) {
         self.signal("TERM");
     }
+    /// Tells it to end and returns once it has heard.
+    pub fn terminate_and_wait(&self) {
+        self.terminate();
+        let until = Instant::now() + LIMIT;
+        while self.operate("GET", "/healthcheck").status() == 200 {
+            assert!(Instant::now() < until, "the signal was not heard");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
     /// Waits for the end and returns the exit code.
     pub fn ended(&mut self) -> Option<i32> {
         let until = Instant::now() + LIMIT;
