--- a/tests/sockets/replacement.rs
+++ b/tests/sockets/replacement.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// The platform's side: the clients' socket and the folder that processes share.
@@ -135,6 +136,67 @@
     assert_eq!(elder.figure("requests.look.served"), 1);
 }
 
+/// Two processes of one gateway, the elder with a request under way whose backend answers when the gate opens.
+fn both_with_a_request_at_the_elder(release: &Arc<Gate>) -> (Node, Node, Client) {
+    let gate = release.clone();
+    let backend = Stub::start(move |_| {
+        gate.wait();
+        http("200 OK", "ok")
+    });
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let (counter, platform) = (counter(), Platform::new());
+    let config = config(discovery.stub.address, counter.address);
+    let elder = Node::spawn(platform.command(&config));
+    wait_until_serving(&elder);
+    let mut client = elder.client();
+    client.send(&request("once", 8000));
+    backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    let younger = Node::spawn(platform.command(&config));
+    wait_until_serving(&younger);
+    (elder, younger, client)
+}
+
+#[test]
+fn a_request_on_the_wire_is_answered_whichever_of_two_processes_is_told_to_end() {
+    let release = Arc::new(Gate::default());
+    let (mut elder, mut younger, mut at_elder) = both_with_a_request_at_the_elder(&release);
+    let mut at_younger = younger.client();
+    at_younger.send(&request("once", 8000));
+    younger.wait_for_figure("in_flight", 1);
+    // Both are told to end, the younger first.
+    younger.terminate();
+    elder.terminate();
+    release.open();
+    assert_eq!(at_elder.answer().expect("the elder's answer").status(), 200);
+    assert_eq!(at_younger.answer().expect("the younger's answer").status(), 200);
+    assert_eq!((elder.ended(), younger.ended()), (Some(0), Some(0)));
+}
+
+#[test]
+fn the_request_of_an_elder_is_answered_though_its_successor_is_killed() {
+    let release = Arc::new(Gate::default());
+    let (elder, younger, mut client) = both_with_a_request_at_the_elder(&release);
+    drop(younger);
+    release.open();
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    // It takes what comes again.
+    wait_until_serving(&elder);
+    assert_eq!(elder.client().ask(&request("once", 3000)).status(), 200);
+}
+
+#[test]
+fn a_younger_whose_elder_is_killed_serves_alone() {
+    let release = Arc::new(Gate::default());
+    let (elder, younger, client) = both_with_a_request_at_the_elder(&release);
+    release.open();
+    drop(elder);
+    drop(client);
+    for _ in 0..5 {
+        assert_eq!(younger.client().ask(&request("once", 3000)).status(), 200);
+    }
+    assert_eq!(younger.figure("requests.once.served"), 5);
+}
+
 /// What may stand at the socket's place without being a gateway.
 fn starts_beside(plant: impl FnOnce(&Path)) {
     let backend = Stub::start(|_| http("200 OK", "ok"));
