--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -1,5 +1,5 @@
 //! Attempts at a backend and the pool of connections, on loopback sockets.
-#[path = "sockets/world.rs"]
+#[path = "sockets/world/mod.rs"]
 mod world;
 
 use starlinghill::api::Outcome;
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -1,5 +1,5 @@
 //! The calls to the shared counter, on loopback sockets.
-#[path = "sockets/world.rs"]
+#[path = "sockets/world/mod.rs"]
 mod world;
 
 use starlinghill::api::{CountName, Micros, Outcome};
--- a/tests/sockets/closing.rs
+++ b/tests/sockets/closing.rs
@@ -1,5 +1,6 @@
 //! The moments in which a client's connection is closed, at the end of a process above all.
 
+use crate::before;
 use crate::world::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -97,3 +98,79 @@
     assert!(took < Duration::from_millis(1000), "answered after {took:?}, {after:?} after SIGTERM");
     assert_eq!(node.ended(), Some(0));
 }
+
+#[test]
+fn at_sigterm_all_that_was_taken_is_answered() {
+    let (backend, _discovery, _counter, mut node) = before(|_| {
+        std::thread::sleep(Duration::from_millis(300));
+        http("200 OK", "ok")
+    });
+    let (mut early, mut idle) = (node.client(), node.client());
+    assert_eq!(idle.ask("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").status(), 200);
+    early.send(&request("once", 3000));
+    backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    node.terminate();
+    assert!(idle.answer().is_none(), "idle connections are closed");
+    let mut late = node.client();
+    assert_eq!(late.ask("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").status(), 503);
+    let answer = node.client().ask(&request("once", 3000));
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    let answer = early.answer().expect("the answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert_eq!(node.ended(), Some(0));
+}
+
+#[test]
+fn at_sigterm_a_request_is_served_that_takes_longer_than_new_connections_are_taken() {
+    let (backend, _discovery, _counter, mut node) = before(|_| {
+        std::thread::sleep(Duration::from_millis(1500));
+        http("200 OK", "ok")
+    });
+    let mut client = node.client();
+    client.send(&request("once", 4000));
+    backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    node.terminate();
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert_eq!(node.ended(), Some(0));
+}
+
+#[test]
+fn at_sigterm_what_no_backend_answers_is_failed_before_the_end() {
+    let (backend, _discovery, _counter, mut node) = before(|_| Reply::Silence);
+    let mut client = node.client();
+    client.send(&request("once", 4000));
+    backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    node.terminate();
+    assert_eq!(client.answer().expect("an answer").status(), 502);
+    assert_eq!(node.ended(), Some(0));
+}
+
+#[test]
+fn a_request_that_crosses_the_closing_at_sigterm_is_answered_on_a_new_connection() {
+    use std::sync::atomic::{AtomicUsize, Ordering};
+    let (_backend, _discovery, _counter, mut node) = before(|_| http("200 OK", "ok"));
+    let (answered, stopped) = (AtomicUsize::new(0), std::sync::OnceLock::<Instant>::new());
+    std::thread::scope(|scope| {
+        for _ in 0..16 {
+            scope.spawn(|| {
+                // New connections come for a moment after SIGTERM; old ones are used while they are open.
+                let late = || stopped.get().is_some_and(|at| at.elapsed() > Duration::from_millis(100));
+                while !late() {
+                    let mut client = node.client();
+                    let mut answer = client.answer_to(&request("look", 3000));
+                    assert!(answer.is_some(), "a new connection is answered");
+                    while answer.is_some_and(|a| a.header("connection") != Some("close")) {
+                        answered.fetch_add(1, Ordering::Relaxed);
+                        answer = client.answer_to(&request("look", 3000));
+                    }
+                }
+            });
+        }
+        while answered.load(Ordering::Relaxed) < 200 {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        node.terminate();
+        stopped.set(Instant::now()).expect("once");
+    });
+    assert_eq!(node.ended(), Some(0));
+}
--- a/tests/sockets/reload.rs
+++ b/tests/sockets/reload.rs
@@ -103,3 +103,30 @@
     assert_eq!(client.answer().expect("an answer").status(), 200);
     assert_eq!(node.ended(), Some(0));
 }
+
+#[test]
+fn at_sighup_discovery_and_the_counter_are_asked_at_their_new_addresses() {
+    let (old, new) = (Stub::start(|_| http("200 OK", "old")), Stub::start(|_| http("200 OK", "new")));
+    let (first, second) = (
+        Discovery::start(&member("s-1", old.address, "ready")),
+        Discovery::start(&member("s-1", new.address, "ready")),
+    );
+    let (counter, other) = (counter(), counter());
+    let mut command = program(&config(first.stub.address, counter.address));
+    let path = config_path(&command);
+    // The environment's address is the one from the start; after a reload the file's counts.
+    command.env("NODE_DISCOVERY", first.stub.address.to_string());
+    let node = Node::spawn(command);
+    node.wait_ready();
+    assert_eq!(node.client().ask(&request("look", 3000)).body, "old");
+    // What makes no sense changes nothing.
+    std::fs::write(&path, "{").expect("written");
+    node.signal("HUP");
+    assert_eq!(node.client().ask(&request("look", 3000)).body, "old");
+    std::fs::write(&path, config(second.stub.address, other.address)).expect("written");
+    node.signal("HUP");
+    second.wait_for_watch(41);
+    assert_eq!(node.client().ask(&request("look", 3000)).body, "new");
+    assert_eq!(counter.requests().len(), 2, "no more goes to the old one");
+    assert!(!other.requests().is_empty(), "the new one is asked");
+}
--- a/tests/sockets/size.rs
+++ b/tests/sockets/size.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// A gateway before one backend whose connections a test serves by hand.
-fn before_hand(sockets: usize) -> (TcpListener, Discovery, Stub, Node) {
+pub fn before_hand(sockets: usize) -> (TcpListener, Discovery, Stub, Node) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let discovery = Discovery::start(&member("s-1", listener.local_addr().expect("bound"), "ready"));
     let counter = counter();
@@ -17,7 +17,7 @@
     (listener, discovery, counter, node)
 }
 
-fn accepted(listener: &TcpListener) -> Client {
+pub fn accepted(listener: &TcpListener) -> Client {
     let (stream, _) = listener.accept().expect("an attempt");
     stream.set_read_timeout(Some(LIMIT)).expect("a socket");
     over(stream)
