--- a/tests/sockets/reload.rs
+++ b/tests/sockets/reload.rs
@@ -22,6 +22,19 @@
         node.wait_ready();
         Scene { backend, discovery, counter, file, node }
     }
+    /// The same with a request at its backend, which answers once the gate is open.
+    fn with_a_request_under_way() -> (Scene, Client, Arc<Gate>) {
+        let release = Arc::new(Gate::default());
+        let gate = release.clone();
+        let scene = Scene::start(Stub::start(move |_| {
+            gate.wait();
+            http("200 OK", "ok")
+        }));
+        let mut client = scene.node.client();
+        client.send(&request("once", 4000));
+        scene.backend.wait_for("the attempt", |log| log.requests.len() == 1);
+        (scene, client, release)
+    }
     fn text(&self) -> String {
         config(self.discovery.stub.address, self.counter.address)
     }
@@ -68,15 +81,7 @@
 
 #[test]
 fn a_request_under_way_is_answered_over_reloads_good_and_bad() {
-    let release = Arc::new(Gate::default());
-    let gate = release.clone();
-    let scene = Scene::start(Stub::start(move |_| {
-        gate.wait();
-        http("200 OK", "ok")
-    }));
-    let mut client = scene.node.client();
-    client.send(&request("once", 4000));
-    scene.backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    let (scene, mut client, release) = Scene::with_a_request_under_way();
     std::fs::write(&scene.file, "{\"listen\":7}").expect("written");
     scene.node.signal("HUP");
     scene.reload(&scene.text());
@@ -87,15 +92,7 @@
 
 #[test]
 fn sigterm_right_after_sighup_ends_the_process_with_all_answered() {
-    let release = Arc::new(Gate::default());
-    let gate = release.clone();
-    let scene = Scene::start(Stub::start(move |_| {
-        gate.wait();
-        http("200 OK", "ok")
-    }));
-    let mut client = scene.node.client();
-    client.send(&request("once", 4000));
-    scene.backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    let (scene, mut client, release) = Scene::with_a_request_under_way();
     let mut node = scene.node;
     node.signal("HUP");
     node.terminate();
