Keep the port at which a test expects nobody, so that no other test listens there

Cause: branch::writes_of_a_cut_off_branch_... failed once in a run of all tests ('the branch does not notice', line 24). Its address of nobody was a port that had been let go, which the next server of any test may be given; then attempts are answered. Not proven: which test had the port in the run that failed, as no line told. Change: Refusing holds the port without listening; used by all tests that need such an address.

--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use world::{http, on_runtime, Reply, Stub};
+use world::{http, on_runtime, Refusing, Reply, Stub};
 
 const LONG: Duration = Duration::from_secs(5);
 
@@ -106,7 +106,8 @@
 
 #[test]
 fn an_unreachable_backend_never_ran_anything() {
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let refusing = Refusing::start();
+    let gone = refusing.address();
     let backend = Backend { address: gone, up_since_ms: 0, open: Cell::new(true) };
     let pool = pool(8, LONG);
     assert_eq!(on_runtime(attempt(&pool, &backend, LONG)).outcome, Outcome::ConnectFailed);
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -6,7 +6,7 @@
 use starlinghill::net::counter::{Counted, Counter, Order};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use world::{http, on_runtime, Reply, Stub};
+use world::{http, on_runtime, Refusing, Reply, Stub};
 
 const TIMEOUT: Duration = Duration::from_millis(80);
 
@@ -25,7 +25,8 @@
 
 #[test]
 fn each_trouble_has_its_own_outcome_and_no_call_is_made_twice() {
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let refusing = Refusing::start();
+    let gone = refusing.address();
     let refused = Counter::new(gone, Duration::from_secs(5), 2);
     assert_eq!(on_runtime(add(&refused, 1)).outcome, Outcome::ConnectFailed);
     let cases: [(fn() -> Reply, Outcome); 5] = [
--- a/tests/sockets/branch.rs
+++ b/tests/sockets/branch.rs
@@ -3,7 +3,6 @@
 
 use crate::takeover::{files_with, keeper};
 use crate::world::*;
-use std::net::TcpListener;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,7 +20,8 @@
 fn cut_off(nodes: &[Node]) {
     let until = Instant::now() + LIMIT;
     while nodes.iter().any(|node| node.figure("fleet.branch.cut") == 0) {
-        assert!(Instant::now() < until, "the branch does not notice");
+        let stats = || nodes.iter().map(|node| node.operate("GET", "/stats").body).collect::<String>();
+        assert!(Instant::now() < until, "the branch does not notice: {}", stats());
         nodes
             .iter()
             .for_each(|node| drop(node.client().ask(&request("look", 600).replace("b4d65521", "b4d65522"))));
@@ -32,8 +32,9 @@
 #[test]
 fn writes_of_a_cut_off_branch_outlive_their_gateway_and_run_once_in_order() {
     let backend = Stub::start(|_| http("200 OK", "done"));
-    // Nobody listens there: the line is down.
-    let nowhere = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    // The line is down.
+    let refusing = Refusing::start();
+    let nowhere = refusing.address();
     let discovery = Discovery::start(&member("s-1", nowhere, "ready"));
     let (counter, files) = (counter(), files_with(BRANCH));
     let mut nodes: Vec<Node> = (0..3).map(|n| keeper(n, &discovery, &counter, &files[n])).collect();
@@ -99,7 +100,8 @@
 #[test]
 fn what_a_branch_accepted_is_on_its_disks_when_all_of_it_was_killed() {
     let backend = Stub::start(|_| http("200 OK", "done"));
-    let nowhere = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let refusing = Refusing::start();
+    let nowhere = refusing.address();
     let discovery = Discovery::start(&member("s-1", nowhere, "ready"));
     let counter = counter();
     let disks = std::env::temp_dir().join(format!("disks-{}", std::process::id()));
@@ -157,7 +159,8 @@
         true if came.fetch_add(1, Ordering::SeqCst) == 0 => Reply::Silence,
         _ => http("200 OK", "done"),
     });
-    let nowhere = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let refusing = Refusing::start();
+    let nowhere = refusing.address();
     let discovery = Discovery::start(&member("s-1", nowhere, "ready"));
     let (counter, files) = (counter(), files_with(&BRANCH.replace("\"buy\"", "\"buy\", \"once\"")));
     let nodes: Vec<Node> = (0..3).map(|n| keeper(n, &discovery, &counter, &files[n])).collect();
--- a/tests/sockets/world/mod.rs
+++ b/tests/sockets/world/mod.rs
@@ -10,7 +10,7 @@
 pub use client::{caller, over, request, Client};
 pub use discovery::{list, member, Discovery, WatchCall};
 pub use node::{config, config_path, program, Node};
-pub use stub::{counter, http, Gate, LateListener, Log, Message, Reply, Stub};
+pub use stub::{counter, http, Gate, LateListener, Log, Message, Refusing, Reply, Stub};
 
 use std::time::Duration;
 
--- a/tests/sockets/world/stub.rs
+++ b/tests/sockets/world/stub.rs
@@ -161,6 +161,23 @@
     })
 }
 
+/// An address that refuses connections for as long as this lives: its port is taken, so that no other test's server comes
+/// to listen there, and nobody listens.
+pub struct Refusing {
+    socket: tokio::net::TcpSocket,
+}
+
+impl Refusing {
+    pub fn start() -> Refusing {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        Refusing { socket }
+    }
+    pub fn address(&self) -> SocketAddr {
+        self.socket.local_addr().expect("bound")
+    }
+}
+
 /// A port at which connections come up late: its queue is full until the test accepts.
 pub struct LateListener {
     listener: TcpListener,
