Log and count why calls to discovery fail, attempts are kept back and requests refused

Change: discovery in a folder by job (list, call, watch), with typed failures (thiserror) that name sizes; counters by reason in /stats (strum); lines at debug, NODE_LOG=debug, by request, attempt, backend and connection; refusals carry a typed reason to the driver, which the simulator's wire leaves out. No decision, bound or time changes. Tests that match refusals and failures pass over the new field and are otherwise as they were.

--- a/src/api.rs
+++ b/src/api.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use std::ops::{Add, Sub};
 use std::rc::Rc;
+use strum::{IntoStaticStr, VariantArray};
 
 /// A point in time or a span, in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -219,7 +220,8 @@
 }
 
 /// How an attempt, a probe or a count call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr, VariantArray)]
+#[strum(serialize_all = "snake_case")]
 pub enum Outcome {
     /// Served.
     Ok,
@@ -394,15 +396,37 @@
     Routing(Routing),
 }
 
+/// Why a request ends without a server's answer. For logs and figures alone: clients are not told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr, VariantArray)]
+#[strum(serialize_all = "snake_case")]
+pub enum RefusalReason {
+    /// Its class or plan is not among the settings'.
+    Unknown,
+    /// The customer's quota is known to be full.
+    QuotaFull,
+    /// The counter's total is past the quota, or, unheard, the local bucket has no room.
+    QuotaSpent,
+    /// The customer has as many attempts out as its plan allows.
+    TooManyOut,
+    /// By chance, as many answers came late.
+    Shed,
+    /// No server became free in time.
+    NoServer,
+    /// Its attempts ended without an answer, and no further one is allowed.
+    AttemptsFailed,
+    /// Its deadline came.
+    Deadline,
+}
+
 /// What a gateway does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send an attempt, to be given up at that time.
     Send(RequestId, ServerId, Micros),
-    /// Final answer: refused, with advice when to come back.
-    Refuse(RequestId, Option<Micros>),
-    /// Final answer: failed.
-    Fail(RequestId),
+    /// Final answer: refused, with advice when to come back, and why.
+    Refuse(RequestId, Option<Micros>, RefusalReason),
+    /// Final answer: failed, and why.
+    Fail(RequestId, RefusalReason),
     /// Call off an attempt.
     Cancel(RequestId, usize),
     /// Ask a server for its load.
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
+use tracing::level_filters::LevelFilter;
 use tracing::{info, warn};
 
 fn run() -> Result<(), Box<dyn Error>> {
@@ -41,13 +42,30 @@
     })
 }
 
+/// How much is logged: `NODE_LOG` may say `error`, `warn`, `info`, `debug` or `trace`. At `debug` each request, attempt
+/// and change of a backend has its lines.
+fn log_level() -> Result<LevelFilter, String> {
+    match std::env::var("NODE_LOG") {
+        Ok(level) => {
+            level.parse().map_err(|_| format!("NODE_LOG: expected a level such as info, found '{level}'"))
+        }
+        Err(_) => Ok(LevelFilter::INFO),
+    }
+}
+
+fn failed(error: &(impl std::fmt::Display + ?Sized)) -> ExitCode {
+    eprintln!("starlinghill: {error}");
+    ExitCode::FAILURE
+}
+
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
+    let level = match log_level() {
+        Ok(level) => level,
+        Err(e) => return failed(&e),
+    };
+    tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).with_max_level(level).init();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("starlinghill: {e}");
-            ExitCode::FAILURE
-        }
+        Err(e) => failed(e.as_ref()),
     }
 }
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -1,7 +1,7 @@
 //! Attempts at backends: a pool of connections, and the outcome of each attempt by what was written.
 
 use super::download::{Answered, Download};
-use super::figures::Figures;
+use super::figures::{Figures, Unsent};
 use super::forward::{Forward, Payload};
 use super::http::{CallError, Connection, MAX_BODY};
 use super::memory::Memory;
@@ -55,11 +55,13 @@
     pub begun_at: Option<Instant>,
     /// What the backend said of its load.
     pub report: Report,
+    /// Why nothing was written, where the gateway itself kept it back.
+    pub unsent: Option<Unsent>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, body: None, whole_at: None, begun_at: None, report: Report::default() }
+        Ended { outcome, body: None, whole_at: None, begun_at: None, report: Report::default(), unsent: None }
     }
 }
 
@@ -152,6 +154,12 @@
         }
     }
 
+    /// The end of an attempt that the gateway itself keeps back.
+    pub fn unsent(&self, why: Unsent) -> Ended {
+        self.figures.unsent.raise(why);
+        Ended { unsent: Some(why), ..Outcome::Moot.into() }
+    }
+
     fn held(&self) -> usize {
         self.idle.borrow().values().map(Vec::len).sum()
     }
@@ -166,7 +174,7 @@
         called_off: oneshot::Receiver<()>,
     ) -> Ended {
         // Guards the limit on descriptors: an attempt without a place was never sent.
-        let Some(place) = self.places.try_take() else { return Outcome::Moot.into() };
+        let Some(place) = self.places.try_take() else { return self.unsent(Unsent::NoPlace) };
         while self.held() > self.places.free() {
             self.evict();
         }
@@ -211,19 +219,22 @@
             };
             // Guards against sending to a backend that began to drain while the connection came up, and for a client
             // that left meanwhile, also where attempts must not be called off.
-            if !backend.open.get() || !request.wanted.get() {
-                return Outcome::Moot.into();
+            if !backend.open.get() {
+                return self.unsent(Unsent::Drained);
+            }
+            if !request.wanted.get() {
+                return self.unsent(Unsent::Unwanted);
             }
             // Guards against an owner that was paused and has been taken over meanwhile.
             if request.work.as_ref().is_some_and(|work| !work.may_act()) {
-                return Outcome::Moot.into();
+                return self.unsent(Unsent::NotOwner);
             }
             // Guards against writing in the moment in which the time is up.
             if Instant::now() >= until {
-                return Outcome::Moot.into();
+                return self.unsent(Unsent::OutOfTime);
             }
             let idle = connection.idle_since.elapsed();
-            let Some(call) = request.request(until) else { return Outcome::Moot.into() };
+            let Some(call) = request.request(until) else { return self.unsent(Unsent::BodySpent) };
             // From here on the attempt may have run, for all that a caller who stops waiting can know.
             wrote.set(true);
             let whole = || {
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -8,17 +8,23 @@
 //! Bound: while discovery can be reached, a change is in the driver's inbox at most hold + silence + one round
 //! trip after discovery has it, which is below the 6 s after which it counts as told.
 
-use super::config::MemberList;
+mod call;
+mod list;
+
+pub use call::FailureKind;
+pub use list::{Member, MemberList, Phase};
+
 use super::driver::{Inbox, Input};
-use super::http::{Connection, MAX_BODY};
-use super::upload::Sending;
+use super::figures::Figures;
+use super::http::Connection;
+use super::sparing::Sparing;
 use crate::api::Settings;
-use hyper::{header, Request, StatusCode};
-use std::fmt;
+use call::{Answer, Call, CallFailure};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 use tracing::{info, warn};
 
 /// The pause before a failed call is made again; a watch goes on if its next call comes within 200 ms.
@@ -61,109 +67,49 @@
     }
 }
 
-/// Why a call brought no list.
-#[derive(Debug)]
-enum CallFailure {
-    Unreachable,
-    TimedOut,
-    Broken,
-    Status(StatusCode),
-    Malformed(serde_json::Error),
-}
-
-impl fmt::Display for CallFailure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            CallFailure::Unreachable => f.write_str("no connection"),
-            CallFailure::TimedOut => f.write_str("no answer in time"),
-            CallFailure::Broken => f.write_str("the connection broke"),
-            CallFailure::Status(status) => write!(f, "answered with {status}"),
-            CallFailure::Malformed(error) => write!(f, "not a list of members: {error}"),
-        }
-    }
-}
-
-/// A list, and the connection that it came over.
-struct Answer {
-    list: MemberList,
-    connection: Connection,
-}
-
-/// One call to discovery.
-#[derive(Clone, Copy)]
-struct Call {
-    address: SocketAddr,
-    /// Changes since this version; the whole list without one.
-    since: Option<u64>,
-    /// How long discovery may wait for news.
-    hold: Duration,
-}
-
-impl Call {
-    fn request(&self) -> Option<Request<Sending>> {
-        let path = match self.since {
-            None => "/catalog/members".to_string(),
-            Some(revision) => {
-                // A hold of nothing at all is not a hold that the protocol names.
-                let hold_ms = self.hold.as_millis().max(1);
-                format!("/catalog/members?from={revision}&hold_ms={hold_ms}")
-            }
-        };
-        let mut request = Request::new(Sending::empty());
-        *request.uri_mut() = path.parse().ok()?;
-        let host = self.address.to_string().parse().ok()?;
-        request.headers_mut().insert(header::HOST, host);
-        Some(request)
-    }
-
-    async fn exchange(self, resting: Option<Connection>) -> Result<Answer, CallFailure> {
-        let mut connection = match resting {
-            Some(connection) => connection,
-            None => {
-                let opened = Connection::open(self.address, MAX_BODY).await;
-                opened.map_err(|_| CallFailure::Unreachable)?
-            }
-        };
-        let request = self.request().ok_or(CallFailure::Unreachable)?;
-        let response = connection.call(request).await.map_err(|_| CallFailure::Broken)?;
-        if response.status() != StatusCode::OK {
-            return Err(CallFailure::Status(response.status()));
-        }
-        let list = serde_json::from_slice(response.body()).map_err(CallFailure::Malformed)?;
-        Ok(Answer { list, connection })
-    }
-
-    /// Makes the call, over a connection that rests if there is one.
-    async fn make(self, resting: Option<Connection>, patience: Duration) -> Result<Answer, CallFailure> {
-        let answer = timeout(self.hold + patience, self.exchange(resting)).await;
-        answer.unwrap_or(Err(CallFailure::TimedOut))
-    }
-}
-
 /// Where the watch stands.
 struct Watch {
     address: SocketAddr,
     pace: Pace,
     /// The version of the list that the driver holds.
     revision: Option<u64>,
-    /// The last call failed.
-    failing: bool,
+    /// How the last call failed, if it did.
+    failing: Option<FailureKind>,
+    /// Failures since the last list, and when one was last logged.
+    failures: u32,
+    logged: Sparing,
+    figures: Rc<Figures>,
 }
 
 /// Fetches the whole list, then watches it for ever, telling the driver what is new.
-pub async fn watch(address: SocketAddr, pace: Pace, inbox: Inbox) {
-    let mut watch = Watch { address, pace, revision: None, failing: false };
+pub async fn watch(address: SocketAddr, pace: Pace, inbox: Inbox, figures: Rc<Figures>) {
+    let mut watch = Watch {
+        address,
+        pace,
+        revision: None,
+        failing: None,
+        failures: 0,
+        logged: Sparing::default(),
+        figures,
+    };
     let mut resting = None;
     loop {
-        let Answer { list, connection } = watch.next_answer(resting.take()).await;
+        let Answer { list, length, connection } = watch.next_answer(resting.take()).await;
         resting = Some(connection);
         if !watch.follows(&list) {
-            warn!(revision = list.revision, "discovery told what does not follow; asking for all");
+            warn!(
+                revision = list.revision,
+                complete = list.complete,
+                held = watch.revision,
+                "discovery told what does not follow; asking for all"
+            );
+            watch.figures.discovery.failed(FailureKind::OutOfOrder);
             watch.revision = None;
             sleep(RETRY_PAUSE).await;
             continue;
         }
         watch.revision = Some(list.revision);
+        watch.figures.discovery.listed(list.revision, length);
         if inbox.send(Input::Members(list)).await.is_err() {
             return;
         }
@@ -189,6 +135,7 @@
         let held = Call { hold: self.revision.map_or(Duration::ZERO, |_| self.pace.hold), ..prompt };
         // Dropped with the answer, which ends the other calls and closes their connections.
         let mut calls = JoinSet::new();
+        self.figures.discovery.called();
         calls.spawn_local(held.make(resting, self.pace.patience));
         let mut next_call = Instant::now() + held.hold + self.pace.silence;
         loop {
@@ -207,6 +154,7 @@
                 },
                 () = sleep_until(next_call) => {
                     if calls.len() < MOST_CALLS {
+                        self.figures.discovery.called();
                         calls.spawn_local(prompt.make(None, self.pace.patience));
                     }
                     next_call = Instant::now() + self.pace.silence;
@@ -216,14 +164,19 @@
     }
 
     fn failed(&mut self, failure: &CallFailure) {
-        if !std::mem::replace(&mut self.failing, true) {
-            warn!(problem = %failure, "discovery failed; the list stays as it is");
+        let kind = failure.kind();
+        self.figures.discovery.failed(kind);
+        self.failures += 1;
+        let news = self.failing.replace(kind) != Some(kind);
+        if self.logged.speaks(Instant::now()) || news {
+            warn!(problem = %failure, failures = self.failures, held = self.revision, "discovery failed; the list stays as it is");
         }
     }
 
     fn recovered(&mut self) {
-        if std::mem::take(&mut self.failing) {
-            info!("discovery answers again");
+        if self.failing.take().is_some() {
+            info!(failures = self.failures, "discovery answers again");
+            self.failures = 0;
         }
     }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -9,11 +9,12 @@
 
 use super::arms::{Arms, Judged, Seen};
 use super::backend::{Backend, Ended, Pool};
-use super::config::{Config, ConfigError, Member, MemberList, Phase};
+use super::config::{Config, ConfigError};
 use super::counter::{Counted, Counter, Order};
+use super::discovery::{Member, MemberList, Phase};
 use super::download::{Answered, Giving};
 use super::drain::Duty;
-use super::figures::{Figures, Fleet};
+use super::figures::{Figures, Fleet, Unsent};
 use super::forward::Forward;
 use super::handover::{Will, Word};
 use super::memory::Memory;
@@ -94,6 +95,7 @@
     actions: Vec<Action>,
     /// Told once the list of backends is in hand.
     duty: Rc<Duty>,
+    figures: Rc<Figures>,
     /// When the list known from before is taken for it.
     ready_at: Option<Instant>,
     /// The rollout that runs, and how it deals the customers out.
@@ -127,7 +129,13 @@
             inbox,
             inputs,
             orders,
-            pool: Rc::new(Pool::new(sockets.backends, connect_timeout, conn_idle, figures, memory.clone())),
+            pool: Rc::new(Pool::new(
+                sockets.backends,
+                connect_timeout,
+                conn_idle,
+                figures.clone(),
+                memory.clone(),
+            )),
             memory,
             counter: counter.map(Rc::new),
             order: Order::default(),
@@ -140,6 +148,7 @@
             batch: Vec::new(),
             actions: Vec::new(),
             duty,
+            figures,
             ready_at: None,
             rolled: None,
             arms: Rc::default(),
@@ -233,6 +242,13 @@
         match input {
             Input::Taken(taken) => {
                 let Taken { arrival, forward, reply } = *taken;
+                debug!(
+                    request = arrival.id.0,
+                    call = forward.call_id(),
+                    class = arrival.class.0,
+                    customer = arrival.customer.0,
+                    "taken"
+                );
                 // The module counts the attempts of earlier owners as well.
                 let before = arrival.earlier.iter().map(|_| Attempt { out: false, call_off: None });
                 let attempts: Vec<Attempt> = before.collect();
@@ -249,6 +265,7 @@
             }
             Input::Gone(id) => {
                 if self.requests.get_mut(&id).and_then(Open::take_reply).is_some() {
+                    debug!(request = id.0, "the client left");
                     self.batch.push(Event::ClientGone(id));
                 }
             }
@@ -269,6 +286,9 @@
             Input::Uploaded(id, deadline) => self.batch.push(Event::BodyEnded(id, deadline)),
             Input::Ended(id, attempt, server, ended, took) => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
+                let unsent = ended.unsent;
+                debug!(request = id.0, attempt, outcome = ?ended.outcome, ?unsent, took_us = took.0, "attempt ends");
+                self.figures.outcomes.raise(ended.outcome);
                 // The first 200 is the client's at once and ends the request; the module hears of it.
                 let judged = open.judged.filter(|_| ended.body.is_some() && open.reply.is_some());
                 if let Some(judged) = judged {
--- a/src/net/driver/attempts.rs
+++ b/src/net/driver/attempts.rs
@@ -26,8 +26,8 @@
     pub(super) fn act(&mut self, now: Micros, action: Action) {
         match action {
             Action::Send(id, server, until) => self.send(now, id, server, until),
-            Action::Refuse(id, wait) => self.answer(id, Answer::Refused(wait)),
-            Action::Fail(id) => self.answer(id, Answer::Failed),
+            Action::Refuse(id, wait, reason) => self.turn_back(id, Answer::Refused(wait), reason),
+            Action::Fail(id, reason) => self.turn_back(id, Answer::Failed, reason),
             Action::Cancel(id, attempt) => {
                 let attempt = self.requests.get_mut(&id).and_then(|open| open.attempts.get_mut(attempt));
                 if let Some(call_off) = attempt.and_then(|a| a.call_off.take()) {
@@ -42,6 +42,14 @@
         }
     }
 
+    /// Answers a request for which no backend did.
+    fn turn_back(&mut self, id: RequestId, answer: Answer, reason: RefusalReason) {
+        let refused = matches!(answer, Answer::Refused(_));
+        debug!(request = id.0, refused, ?reason, "answered without a backend");
+        self.figures.refusals.raise(reason);
+        self.answer(id, answer);
+    }
+
     pub(super) fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(reply) = self.requests.get_mut(&id).and_then(Open::take_reply) {
             let open = self.requests.get(&id);
@@ -65,6 +73,7 @@
             open.attempts.push(Attempt { out: false, call_off: None });
             return self.ended(id, attempt, server, Outcome::Moot, Micros(0), Report::default());
         };
+        debug!(request = id.0, attempt, backend = %backend.address, "attempt begins");
         let (call_off, called_off) = oneshot::channel();
         open.attempts.push(Attempt { out: true, call_off: Some(call_off) });
         let (pool, forward, inbox) = (self.pool.clone(), open.forward.clone(), self.inbox.clone());
@@ -73,7 +82,7 @@
         forward.tries.iter().for_each(|tries| tries.begins());
         tokio::task::spawn_local(async move {
             let ended = match &forward.work {
-                Some(work) if !work.before_send(server.0).await => Outcome::Moot.into(),
+                Some(work) if !work.before_send(server.0).await => pool.unsent(Unsent::NotOwner),
                 _ => pool.attempt(&backend, &forward, until, called_off).await,
             };
             forward.work.iter().for_each(|work| work.ended(server.0, ended.outcome));
--- a/src/net/driver/members.rs
+++ b/src/net/driver/members.rs
@@ -60,7 +60,9 @@
 
     pub(super) fn members(&mut self, list: MemberList) {
         let scope = if list.complete { ListScope::Whole } else { ListScope::Changes };
-        debug!(revision = list.revision, complete = list.complete, entries = list.members.len(), "members");
+        let entries = list.members.len();
+        let draining = list.members.iter().filter(|member| member.phase == Phase::Draining).count();
+        info!(revision = list.revision, complete = list.complete, entries, draining, "list of backends");
         self.revision = list.revision;
         if list.complete {
             self.listed.clear();
@@ -73,6 +75,10 @@
                 Phase::Draining => Listed::Draining,
                 Phase::Gone => Listed::Gone,
             };
+            let before = self.listed.get(&server).map(|member| member.phase);
+            if before != Some(member.phase) {
+                debug!(backend = member.id, address = %member.host_port, ?before, phase = ?member.phase, "backend changes");
+            }
             let backend = Backend {
                 address: member.host_port,
                 up_since_ms: member.up_since_ms,
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -1,10 +1,14 @@
 //! What operators read of a gateway: plain counters, each raised where its event happens. Reading them looks
 //! at no request.
 
-use crate::api::ClassId;
+use super::discovery::FailureKind;
+use crate::api::{ClassId, Outcome, RefusalReason};
 use std::cell::Cell;
 use std::fmt::Write;
+use std::marker::PhantomData;
 use std::rc::Rc;
+use strum::{IntoStaticStr, VariantArray};
+use tokio::time::Instant;
 
 /// How a request ended, as its client sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,12 +37,118 @@
     failed: Cell<u64>,
 }
 
+/// Why an attempt was not written to its backend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr, VariantArray)]
+#[strum(serialize_all = "snake_case")]
+pub enum Unsent {
+    /// The backend drains or is gone.
+    Drained,
+    /// The client has its answer or has left.
+    Unwanted,
+    /// No descriptor is left for a connection.
+    NoPlace,
+    /// The attempt's time was over before its first byte.
+    OutOfTime,
+    /// Another gateway owns the request's work.
+    NotOwner,
+    /// The body has gone to another backend.
+    BodySpent,
+}
+
+/// Why the gateway closed a client's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr, VariantArray)]
+#[strum(serialize_all = "snake_case")]
+pub enum Close {
+    /// After an answer, as one of the two sides wished.
+    Ended,
+    /// It broke, or what came over it was no HTTP.
+    Broken,
+    /// It was quiet for too long, or its place was needed.
+    Quiet,
+    /// The client had ended its side.
+    LeftUnread,
+}
+
+/// One counter for each of an enum's variants.
+pub struct Counts<Kind: VariantArray + 'static> {
+    counts: Vec<Cell<u64>>,
+    kind: PhantomData<Kind>,
+}
+
+impl<Kind: VariantArray> Default for Counts<Kind> {
+    fn default() -> Counts<Kind> {
+        Counts { counts: Kind::VARIANTS.iter().map(|_| Cell::new(0)).collect(), kind: PhantomData }
+    }
+}
+
+impl<Kind: VariantArray + PartialEq + Copy + Into<&'static str>> Counts<Kind> {
+    /// Counts one.
+    pub fn raise(&self, kind: Kind) {
+        let place = Kind::VARIANTS.iter().position(|variant| *variant == kind);
+        place.and_then(|place| self.counts.get(place)).into_iter().for_each(raise);
+    }
+    fn each(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        Kind::VARIANTS.iter().zip(&self.counts).map(|(kind, count)| ((*kind).into(), count.get()))
+    }
+}
+
+/// What came of the calls to discovery.
+#[derive(Default)]
+pub struct DiscoveryFigures {
+    calls: Cell<u64>,
+    failures: Counts<FailureKind>,
+    lists: Cell<u64>,
+    bytes: Cell<u64>,
+    revision: Cell<u64>,
+    last_list: Cell<Option<Instant>>,
+}
+
+impl DiscoveryFigures {
+    /// A call was made.
+    pub fn called(&self) {
+        raise(&self.calls);
+    }
+    /// A call brought no list, or one that could not be taken.
+    pub fn failed(&self, kind: FailureKind) {
+        self.failures.raise(kind);
+    }
+    /// A list of this version and length was taken.
+    pub fn listed(&self, revision: u64, bytes: usize) {
+        raise(&self.lists);
+        self.bytes.set(self.bytes.get() + bytes as u64);
+        self.revision.set(revision);
+        self.last_list.set(Some(Instant::now()));
+    }
+    fn write(&self, line: &mut impl FnMut(&str, u64)) {
+        line("discovery.calls", self.calls.get());
+        for (kind, count) in self.failures.each() {
+            line(&format!("discovery.failed.{kind}"), count);
+        }
+        line("discovery.lists", self.lists.get());
+        line("discovery.list_bytes", self.bytes.get());
+        line("discovery.revision", self.revision.get());
+        if let Some(at) = self.last_list.get() {
+            line("discovery.last_list_ms_ago", at.elapsed().as_millis() as u64);
+        }
+    }
+}
+
 /// The counters of one process; all start at 0.
 #[derive(Default)]
 pub struct Figures {
     classes: Vec<Class>,
     in_flight: Cell<u64>,
     attempts: Cell<u64>,
+    /// What came of the calls to discovery.
+    pub discovery: DiscoveryFigures,
+    /// How attempts ended.
+    pub outcomes: Counts<Outcome>,
+    /// Why attempts were not written.
+    pub unsent: Counts<Unsent>,
+    /// Why the module refused or failed requests.
+    pub refusals: Counts<RefusalReason>,
+    /// Why clients' connections were closed.
+    pub closes: Counts<Close>,
 }
 
 fn raise(counter: &Cell<u64>) {
@@ -80,6 +190,19 @@
         line("in_flight", self.in_flight.get());
         line("backends_known", fleet.known as u64);
         line("backends_excluded", fleet.excluded as u64);
+        self.discovery.write(&mut line);
+        for (outcome, count) in self.outcomes.each() {
+            line(&format!("attempt_ends.{outcome}"), count);
+        }
+        for (reason, count) in self.unsent.each() {
+            line(&format!("attempts_unsent.{reason}"), count);
+        }
+        for (reason, count) in self.refusals.each() {
+            line(&format!("refusals.{reason}"), count);
+        }
+        for (reason, count) in self.closes.each() {
+            line(&format!("client_closes.{reason}"), count);
+        }
         text
     }
 }
@@ -128,7 +251,7 @@
         drop((served, refused, left));
         figures.attempt();
         let text = figures.text(Fleet { known: 4, excluded: 1 });
-        let told: Vec<&str> = text.lines().collect();
+        let told: Vec<&str> = text.lines().take(10).collect();
         assert_eq!(
             told,
             [
@@ -145,4 +268,28 @@
             ]
         );
     }
+
+    #[test]
+    fn every_reason_has_a_line_that_counts_its_events() {
+        let figures = Figures::default();
+        figures.discovery.failed(FailureKind::TooLong);
+        figures.discovery.listed(7, 41);
+        figures.unsent.raise(Unsent::Drained);
+        figures.outcomes.raise(Outcome::ConnectFailed);
+        figures.refusals.raise(RefusalReason::QuotaFull);
+        figures.closes.raise(Close::Quiet);
+        let text = figures.text(Fleet::default());
+        for line in [
+            "discovery.failed.too_long=1",
+            "discovery.failed.broken=0",
+            "discovery.revision=7",
+            "discovery.list_bytes=41",
+            "attempts_unsent.drained=1",
+            "attempt_ends.connect_failed=1",
+            "refusals.quota_full=1",
+            "client_closes.quiet=1",
+        ] {
+            assert!(text.contains(&format!("edge_node.{line}\n")), "{line}: {text}");
+        }
+    }
 }
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -39,6 +39,10 @@
     pub fn new(method: Method, uri: Uri, headers: HeaderMap, body: Payload) -> Forward {
         Forward { method, uri, headers, body, wanted: Cell::new(true), tries: None, work: None }
     }
+    /// The client's id of the request, for logs.
+    pub fn call_id(&self) -> Option<&str> {
+        self.headers.get("x-call-id").and_then(|id| id.to_str().ok())
+    }
     /// The same once more, for a body that is here whole; nothing of one that is still coming.
     pub fn again(&self) -> Forward {
         let body = match &self.body {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -4,7 +4,7 @@
 //! Lines of JSON go both ways over that one connection. Nothing here keeps a process from serving: a peer that
 //! is dead, silent or garbled costs a moment, and then the process goes on alone.
 
-use super::config::MemberList;
+use super::discovery::MemberList;
 use super::drain::Duty;
 use super::driver::{Control, Orders};
 use crate::state::Estate;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -79,11 +79,16 @@
 impl std::error::Error for RunError {}
 
 /// Watches discovery, and after a change of the services' addresses asks both at the new ones.
-async fn follow(mut services: watch::Receiver<Services>, pace: discovery::Pace, inbox: Inbox) {
+async fn follow(
+    mut services: watch::Receiver<Services>,
+    pace: discovery::Pace,
+    inbox: Inbox,
+    figures: Rc<Figures>,
+) {
     loop {
         let discovery = services.borrow_and_update().discovery;
         tokio::select! {
-            () = discovery::watch(discovery, pace, inbox.clone()) => return,
+            () = discovery::watch(discovery, pace, inbox.clone(), figures.clone()) => return,
             changed = services.changed() => if changed.is_err() {
                 return;
             },
@@ -203,7 +208,7 @@
             ends.end(End::Stopping);
         }
     });
-    tokio::task::spawn_local(follow(services, pace, inbox.clone()));
+    tokio::task::spawn_local(follow(services, pace, inbox.clone(), figures.clone()));
     let driving = tokio::task::spawn_local(driver.run());
     let last = Cell::new(0);
     let places = Rc::new(Share::new(sockets.clients));
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -5,7 +5,7 @@
 use super::download::{BrokeOff, Giving};
 use super::drain::{self, Duty};
 use super::driver::{duration, Clock, Inbox};
-use super::figures::{End, Figures, Ticket};
+use super::figures::{Close, End, Figures, Ticket};
 use super::memory::Memory;
 use super::peers::Peers;
 use super::share::Share;
@@ -177,23 +177,21 @@
         .max_buf_size(front.memory.buffer())
         .header_read_timeout(None)
         .serve_connection(TokioIo::new(socket), service);
-    let had_last_answer = tokio::select! {
+    let why = tokio::select! {
         biased;
-        done = connection => {
-            if let Err(error) = done {
-                debug!(%error, "a client's connection ended");
+        done = connection => match done {
+            Ok(()) => Close::Ended,
+            Err(error) => {
+                debug!(%error, "a client's connection broke");
+                Close::Broken
             }
-            true
-        }
-        () = peer.closed() => {
-            debug!("a quiet client's connection is closed");
-            false
-        }
-        () = ended_by_client(&stream) => {
-            debug!("a client ended its connection behind bytes that are not read");
-            false
-        }
+        },
+        () = peer.closed() => Close::Quiet,
+        () = ended_by_client(&stream) => Close::LeftUnread,
     };
+    debug!(?why, client = ?stream.peer_addr().ok(), "a client's connection is closed");
+    front.figures.closes.raise(why);
+    let had_last_answer = matches!(why, Close::Ended | Close::Broken);
     // Where no answer can be under way there is nothing to guard: bytes that cross the close are left unread, and the
     // reset tells the client that it may send them once more.
     if had_last_answer && front.places.free() > 0 {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -175,7 +175,7 @@
         match self.timers.remove(&id) {
             // Every request has its answer by its deadline.
             Some(Timer::Deadline(id)) if self.requests.get(&id).is_none_or(|r| r.done || r.streaming) => {}
-            Some(Timer::Deadline(id)) => self.refuse(id),
+            Some(Timer::Deadline(id)) => self.refuse(id, RefusalReason::Deadline),
             Some(Timer::Held) => {
                 self.hold_timer = false;
                 self.serve_held();
@@ -192,7 +192,7 @@
     fn on_request(&mut self, a: Arrival) {
         let (id, now, customer, plan) = (a.id, self.now, a.customer, a.plan.0);
         if a.class.0 >= self.set.classes.len() || plan >= self.set.plans.len() {
-            return self.out.push(Action::Refuse(id, None));
+            return self.out.push(Action::Refuse(id, None, RefusalReason::Unknown));
         }
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
         // Before the deadline by two ticks: a timer may come one late, and the answer takes one.
@@ -220,7 +220,7 @@
         self.requests.insert(id, Request { a, arrived: now, attempts, route, ..Request::default() });
         self.roll(customer);
         if !counted && self.shed(id) {
-            return self.refuse(id);
+            return self.refuse(id, RefusalReason::Shed);
         }
         match self.set.plans[plan].rate > 0.0 && !counted {
             true => self.ask_window(id),
@@ -254,11 +254,14 @@
     }
 
     /// Refuses with a retry-after where that is allowed, or fails.
-    fn refuse(&mut self, id: RequestId) {
+    fn refuse(&mut self, id: RequestId, reason: RefusalReason) {
         let Some(r) = self.requests.get(&id) else { return };
         let wait = (self.set.retry_after && self.set.plans[r.a.plan.0].rate > 0.0)
             .then(|| self.span(r.a.customer, self.window_of(r.a.plan.0).0).1.min(self.set.max_retry_after));
-        let answer = if self.may_refuse(r) { Action::Refuse(id, wait) } else { Action::Fail(id) };
+        let answer = match self.may_refuse(r) {
+            true => Action::Refuse(id, wait, reason),
+            false => Action::Fail(id, reason),
+        };
         if let Some(c) = self.customers.get_mut(&r.a.customer) {
             c.refused = Some(Refusal { class: r.a.class, units: r.a.units, at: self.now });
         }
--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -102,7 +102,7 @@
             if let Some(server) = self.pick(id) {
                 self.send(id, server);
             } else if overdue {
-                self.refuse(id);
+                self.refuse(id, RefusalReason::NoServer);
             } else {
                 self.held.push(id);
             }
@@ -139,7 +139,7 @@
             self.retries -= 1.0;
             self.dispatch(id);
         } else if self.requests.get(&id).is_some_and(|r| !r.is_out()) {
-            self.refuse(id);
+            self.refuse(id, RefusalReason::AttemptsFailed);
         }
         if !self.held.is_empty() {
             self.serve_held();
--- a/src/rules/quota.rs
+++ b/src/rules/quota.rs
@@ -130,7 +130,8 @@
         let c = &self.customers[&customer];
         let total = c.window.known();
         if self.room(customer, total) < units && self.breaker.opened.is_none() && total > 0.0 {
-            return self.refuse(id); // Known full: a call could only tell the same.
+            // Known full: a call could only tell the same.
+            return self.refuse(id, RefusalReason::QuotaFull);
         }
         if self.asks(resent) && self.may_call(customer) {
             self.call(Purpose::Window, customer, Some(id), units);
@@ -282,7 +283,7 @@
         };
         match ok {
             true => self.ask_place(id),
-            false => self.refuse(id),
+            false => self.refuse(id, RefusalReason::QuotaSpent),
         }
     }
 
@@ -366,7 +367,7 @@
         };
         match ok && !done {
             true => self.admit(id),
-            false => self.refuse(id),
+            false => self.refuse(id, RefusalReason::TooManyOut),
         }
         self.sync_places(customer);
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -125,9 +125,9 @@
             Action::Send(r, s, until) => {
                 writeln!(out, "ROUTE ref={} backend={} abandon_at={}", r.0, name(s), until.0)
             }
-            Action::Refuse(r, None) => writeln!(out, "REJECT ref={}", r.0),
-            Action::Refuse(r, Some(b)) => writeln!(out, "REJECT ref={} backoff={}", r.0, b.0),
-            Action::Fail(r) => writeln!(out, "FINISH_ERROR ref={}", r.0),
+            Action::Refuse(r, None, _) => writeln!(out, "REJECT ref={}", r.0),
+            Action::Refuse(r, Some(b), _) => writeln!(out, "REJECT ref={} backoff={}", r.0, b.0),
+            Action::Fail(r, _) => writeln!(out, "FINISH_ERROR ref={}", r.0),
             Action::Cancel(r, a) => writeln!(out, "ABANDON ref={} trial={a}", r.0),
             Action::Probe(s) => writeln!(out, "PROBE backend={}", name(s)),
             Action::Count(n, amount, life) => {
