--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod closing;
 mod departures;
 mod fleet;
+mod large_lists;
 mod lists;
 mod operators;
 mod reload;
