Take lists of the largest fleet, bounded by its size and not by a backend's answer

Cause: the body of a call to discovery was bounded by MAX_BODY of net/http.rs, 64 KiB, the length up to which the protocol lets a message of a request go; a whole list of 480 backends is longer. Each call failed, was made again after 0.1 s, and no watch ever began: the gateway stayed with the list of its configuration and heard of no drain. Class of the mistake: a bound taken over from another kind of message, which a legal peer of the largest fleet passes, and a failure that is repeated alike for ever. Change: a list may have 3.3 MB, derived from 3,200 backends, each listed twice during a release, 512 bytes an entry; read as it comes.

--- a/src/net/discovery/call.rs
+++ b/src/net/discovery/call.rs
@@ -1,7 +1,7 @@
 //! One call to discovery: the whole list, or the changes since a version.
 
-use super::list::MemberList;
-use crate::net::http::{CallError, Connection, MAX_BODY};
+use super::list::{MemberList, LONGEST_LIST};
+use crate::net::http::{CallError, Connection};
 use crate::net::upload::Sending;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -164,10 +164,10 @@
         let frame = frame.map_err(|_| CallFailure::Broken { received: received.get() })?;
         // Trailers say nothing of the list.
         let piece = frame.into_data().unwrap_or_default();
+        if text.len() + piece.len() > LONGEST_LIST {
+            return Err(CallFailure::TooLong { limit: LONGEST_LIST });
+        }
         text.extend_from_slice(&piece);
         received.set(text.len());
-        if text.len() > MAX_BODY {
-            return Err(CallFailure::TooLong { limit: MAX_BODY });
-        }
     }
 }
--- a/src/net/discovery/list.rs
+++ b/src/net/discovery/list.rs
@@ -3,6 +3,15 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// The most backends of a fleet, from the operators' page.
+pub const MOST_BACKENDS: usize = 3200;
+/// Of each backend that a release replaces, the list holds the old one and the new one for a while.
+const ENTRIES_A_BACKEND: usize = 2;
+/// The longest entry, in bytes: indented, with every field at its longest. One of the operators' sites takes about 230.
+const LONGEST_ENTRY: usize = 512;
+/// The longest list, in bytes: 3.3 MB. A whole list of the largest fleet, indented, takes 0.7 MB.
+pub const LONGEST_LIST: usize = MOST_BACKENDS * ENTRIES_A_BACKEND * LONGEST_ENTRY;
+
 /// Discovery's form of the list of backends, whole or as changes.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct MemberList {
