Wait for a list as long as it comes, and ask for changes since the list that is known

Cause: a second fault of the same class: a call was given up 1 s (2 s where lists are asked for) after its hold, also while its list was coming, and begun anew for ever; 300 backends at 20 KB/s, or a discovery that takes 3.5 s for each answer, were never listed. At its start a gateway asks for the changes since the list of its configuration: 3,200 backends cost some hundred bytes in place of 0.5 to 0.7 MB. After SIGHUP all is asked for, as another discovery may count otherwise. Empty changes no longer rebuild the list.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -134,6 +134,11 @@
 }
 
 impl Config {
+    /// The version of the list that this gateway had last, if it had one.
+    pub fn known_revision(&self) -> Option<u64> {
+        (!self.known.members.is_empty()).then_some(self.known.revision)
+    }
+
     /// Where the services are that a gateway asks.
     pub fn services(&self) -> Services {
         let peers = self.fleet.as_ref().map(|f| f.settings.peers.clone()).unwrap_or_default();
--- a/src/net/discovery/call.rs
+++ b/src/net/discovery/call.rs
@@ -9,13 +9,19 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use strum::{IntoStaticStr, VariantArray};
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// The buffer of a connection to discovery, in bytes: as long as the head of an answer may be.
 const READ_BUFFER: usize = 64 * 1024;
+/// A list that has begun to come goes on coming while no piece of it keeps the gateway waiting for longer than this.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// The slowest that a list may come beside that, in bytes a second: a tenth of the slowest discovery known of. Guards
+/// against a peer that sends a byte now and then and so holds a call for ever.
+const SLOWEST: usize = 2_000;
 
 /// Why a call brought no list.
 #[derive(Debug, Error)]
@@ -23,9 +29,12 @@
     /// No connection came up.
     #[error("no connection: {0}")]
     Unreachable(io::Error),
-    /// The call was given up.
-    #[error("no answer in time, {received} bytes of it came")]
-    TimedOut {
+    /// No connection, or nothing of an answer, in time.
+    #[error("no answer within {0:?}")]
+    Silent(Duration),
+    /// The answer stopped coming, or came too slowly.
+    #[error("the list stopped coming after {received} bytes")]
+    Stalled {
         /// Bytes of the list that had come.
         received: usize,
     },
@@ -55,8 +64,10 @@
 pub enum FailureKind {
     /// No connection came up.
     Unreachable,
-    /// Given up.
-    TimedOut,
+    /// Nothing of an answer in time.
+    Silent,
+    /// The answer stopped coming.
+    Stalled,
     /// The connection ended before the answer did.
     Broken,
     /// Longer than a list may be.
@@ -74,7 +85,8 @@
     pub fn kind(&self) -> FailureKind {
         match self {
             CallFailure::Unreachable(_) => FailureKind::Unreachable,
-            CallFailure::TimedOut { .. } => FailureKind::TimedOut,
+            CallFailure::Silent(_) => FailureKind::Silent,
+            CallFailure::Stalled { .. } => FailureKind::Stalled,
             CallFailure::Broken { .. } => FailureKind::Broken,
             CallFailure::TooLong { .. } => FailureKind::TooLong,
             CallFailure::Status(_) => FailureKind::Status,
@@ -121,53 +133,76 @@
         Some(request)
     }
 
-    async fn exchange(
+    /// Makes the call, over a connection that rests if there is one. Its answer has to begin within `patience` after its
+    /// hold; from then on it is waited for as long as it makes progress.
+    pub async fn make(
         self,
         resting: Option<Connection>,
-        received: &Cell<usize>,
+        patience: Duration,
+        progress: Rc<Progress>,
     ) -> Result<Answer, CallFailure> {
+        let limit = self.hold + patience;
+        let begun = timeout(limit, self.begin(resting)).await;
+        let (mut connection, body) = begun.unwrap_or(Err(CallFailure::Silent(limit)))?;
+        let text = read(&mut connection, body, &progress).await?;
+        let list = serde_json::from_slice(&text).map_err(CallFailure::Malformed)?;
+        Ok(Answer { list, length: text.len(), connection })
+    }
+
+    /// Writes the call and reads the head of its answer.
+    async fn begin(self, resting: Option<Connection>) -> Result<(Connection, Incoming), CallFailure> {
         let mut connection = match resting {
             Some(connection) => connection,
             None => Connection::open(self.address, READ_BUFFER).await.map_err(CallFailure::Unreachable)?,
         };
-        let broken = |received: &Cell<usize>| CallFailure::Broken { received: received.get() };
-        let request = self.request().ok_or_else(|| broken(received))?;
-        let response = connection.begin(request, || {}).await.map_err(|_: CallError| broken(received))?;
-        if response.status() != StatusCode::OK {
-            return Err(CallFailure::Status(response.status()));
+        let broken = CallFailure::Broken { received: 0 };
+        let Some(request) = self.request() else { return Err(broken) };
+        let response = connection.begin(request, || {}).await.map_err(|_: CallError| broken)?;
+        match response.status() {
+            StatusCode::OK => Ok((connection, response.into_body())),
+            status => Err(CallFailure::Status(status)),
         }
-        let text = read(&mut connection, response.into_body(), received).await?;
-        let list = serde_json::from_slice(&text).map_err(CallFailure::Malformed)?;
-        Ok(Answer { list, length: text.len(), connection })
     }
+}
+
+/// When a call last brought something.
+#[derive(Debug, Default)]
+pub struct Progress {
+    last: Cell<Option<Instant>>,
+}
 
-    /// Makes the call, over a connection that rests if there is one.
-    pub async fn make(self, resting: Option<Connection>, patience: Duration) -> Result<Answer, CallFailure> {
-        let received = Cell::new(0);
-        let answer = timeout(self.hold + patience, self.exchange(resting, &received)).await;
-        answer.unwrap_or(Err(CallFailure::TimedOut { received: received.get() }))
+impl Progress {
+    /// When a piece of a list last came; `None` before its first.
+    pub fn last(&self) -> Option<Instant> {
+        self.last.get()
+    }
+    /// As if nothing had come.
+    pub fn forget(&self) {
+        self.last.set(None);
     }
 }
 
-/// Reads an answer's body to its end.
+/// Reads an answer's body to its end, for as long as it makes progress.
 async fn read(
     connection: &mut Connection,
     mut body: Incoming,
-    received: &Cell<usize>,
+    progress: &Progress,
 ) -> Result<Vec<u8>, CallFailure> {
-    let mut text = Vec::new();
+    let (mut text, begun) = (Vec::new(), Instant::now());
     loop {
-        let frame = connection.drive(body.frame()).await;
-        let Some(frame) = frame.ok_or(CallFailure::Broken { received: received.get() })? else {
-            return Ok(text);
-        };
-        let frame = frame.map_err(|_| CallFailure::Broken { received: received.get() })?;
+        let received = text.len();
+        let slowest = begun + LONGEST_PAUSE + Duration::from_secs(received as u64) / SLOWEST as u32;
+        let due = slowest.min(Instant::now() + LONGEST_PAUSE);
+        let frame = timeout_at(due, connection.drive(body.frame())).await;
+        let frame = frame.map_err(|_| CallFailure::Stalled { received })?;
+        let Some(frame) = frame.ok_or(CallFailure::Broken { received })? else { return Ok(text) };
+        let frame = frame.map_err(|_| CallFailure::Broken { received })?;
         // Trailers say nothing of the list.
         let piece = frame.into_data().unwrap_or_default();
-        if text.len() + piece.len() > LONGEST_LIST {
+        if received + piece.len() > LONGEST_LIST {
             return Err(CallFailure::TooLong { limit: LONGEST_LIST });
         }
         text.extend_from_slice(&piece);
-        received.set(text.len());
+        progress.last.set(Some(Instant::now()));
     }
 }
--- a/src/net/driver/members.rs
+++ b/src/net/driver/members.rs
@@ -60,6 +60,10 @@
 
     pub(super) fn members(&mut self, list: MemberList) {
         let scope = if list.complete { ListScope::Whole } else { ListScope::Changes };
+        if list.members.is_empty() && !list.complete {
+            self.revision = list.revision;
+            return;
+        }
         let entries = list.members.len();
         let draining = list.members.iter().filter(|member| member.phase == Phase::Draining).count();
         info!(revision = list.revision, complete = list.complete, entries, draining, "list of backends");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -78,9 +78,11 @@
 }
 impl std::error::Error for RunError {}
 
-/// Watches discovery, and after a change of the services' addresses asks both at the new ones.
+/// Watches discovery from the version that is held from before, and after a change of the services' addresses asks both at
+/// the new ones. Another discovery may count its versions otherwise: there all is asked for.
 async fn follow(
     mut services: watch::Receiver<Services>,
+    mut held: Option<u64>,
     pace: discovery::Pace,
     inbox: Inbox,
     figures: Rc<Figures>,
@@ -88,7 +90,7 @@
     loop {
         let discovery = services.borrow_and_update().discovery;
         tokio::select! {
-            () = discovery::watch(discovery, pace, inbox.clone(), figures.clone()) => return,
+            () = discovery::watch(discovery, held.take(), pace, inbox.clone(), figures.clone()) => return,
             changed = services.changed() => if changed.is_err() {
                 return;
             },
@@ -136,6 +138,7 @@
     let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
     let tick = config.site.settings.tick;
     let pace = discovery::Pace::of(&config.site.settings);
+    let known = config.known_revision();
     let last_moment = tick + tick;
     let (gateways, most_units) = (config.site.settings.gateways, config.site.settings.most_units);
     let names = rollout::Names {
@@ -208,7 +211,7 @@
             ends.end(End::Stopping);
         }
     });
-    tokio::task::spawn_local(follow(services, pace, inbox.clone(), figures.clone()));
+    tokio::task::spawn_local(follow(services, known, pace, inbox.clone(), figures.clone()));
     let driving = tokio::task::spawn_local(driver.run());
     let last = Cell::new(0);
     let places = Rc::new(Share::new(sockets.clients));
--- a/tests/sockets/large_lists.rs
+++ b/tests/sockets/large_lists.rs
@@ -1,6 +1,7 @@
 //! Lists of the largest fleet: thousands of backends, whole lists and changes, in every length and pace that is legal.
 
 use crate::world::*;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// The most backends that a fleet has.
@@ -84,3 +85,107 @@
         fleet.assert_only_new_is_used(&node);
     }
 }
+
+/// More than any list of a legal fleet has.
+const TOO_LONG: usize = 4 << 20;
+
+#[test]
+fn a_list_that_is_too_long_is_counted_and_asked_for_less_and_less_often() {
+    let fleet = LargeFleet::start(2);
+    let endless = list(41, true, &(fleet.all("ready") + &" ".repeat(TOO_LONG)));
+    let discovery = Stub::start(move |_| http("200 OK", &endless));
+    let counter = counter();
+    let node = Node::spawn(program(&config(discovery.address, counter.address)));
+    let until = Instant::now() + LIMIT;
+    while node.figure("discovery.failed.too_long") < 5 {
+        assert!(Instant::now() < until, "not counted");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    assert!(node.figure("discovery.calls") < 9, "{} calls", node.figure("discovery.calls"));
+    assert_eq!(node.figure("discovery.lists"), 0);
+}
+
+/// An answer that comes at so many bytes a second.
+fn paced(text: &str, bytes_a_second: usize) -> Reply {
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+    Reply::Paced(text, bytes_a_second / 20, Duration::from_millis(50))
+}
+
+/// Discovery that has nothing but a whole list, and tells it in its own way.
+fn discovery_of(whole: String, tell: impl Fn(&str) -> Reply + Send + Sync + 'static) -> Stub {
+    Stub::start(move |request| match WatchCall::of(request) {
+        None => tell(&whole),
+        Some(watch) => {
+            std::thread::sleep(watch.hold);
+            http("200 OK", &list(watch.from, false, ""))
+        }
+    })
+}
+
+#[test]
+fn a_list_that_comes_slowly_is_waited_for_and_fetched_once() {
+    let fleet = LargeFleet::start(300);
+    // Some 40 kB, at the slowest pace known of: 2 s.
+    let discovery = discovery_of(list(41, true, &fleet.all("ready")), |whole| paced(whole, 20_000));
+    let counter = counter();
+    let node = Node::spawn(program(&config(discovery.address, counter.address)));
+    node.wait_for_figure("backends_known", 300);
+    let whole_lists = discovery.requests().iter().filter(|call| WatchCall::of(call).is_none()).count();
+    assert_eq!(whole_lists, 1, "the list is fetched once");
+}
+
+#[test]
+fn a_list_that_stops_coming_is_given_up_and_fetched_anew() {
+    let fleet = LargeFleet::start(300);
+    let calls = AtomicUsize::new(0);
+    let discovery = discovery_of(list(41, true, &fleet.all("ready")), move |whole| {
+        match calls.fetch_add(1, Ordering::SeqCst) {
+            // Half of it, and nothing more.
+            0 => {
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", whole.len());
+                Reply::Raw(head + &whole[..whole.len() / 2])
+            }
+            // Cut in the middle.
+            1 => {
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", whole.len());
+                Reply::RawThenClose(head + &whole[..whole.len() / 2])
+            }
+            _ => http("200 OK", whole),
+        }
+    });
+    let counter = counter();
+    let node = Node::spawn(program(&config(discovery.address, counter.address)));
+    node.wait_for_figure("backends_known", 300);
+    assert_eq!(node.figure("discovery.failed.broken"), 1);
+}
+
+#[test]
+fn discovery_that_takes_seconds_for_each_answer_is_heard() {
+    for mode in ["automatic", "subscribe"] {
+        let fleet = LargeFleet::start(2);
+        let whole = list(41, true, &fleet.all("ready"));
+        let discovery = discovery_of(whole, |whole| {
+            std::thread::sleep(Duration::from_millis(3500));
+            http("200 OK", whole)
+        });
+        let counter = counter();
+        let setting = format!(r#""settings":{{"membership_mode":"{mode}","#);
+        let config = config(discovery.address, counter.address).replace(r#""settings":{"#, &setting);
+        let node = Node::spawn(program(&config));
+        node.wait_for_figure("backends_known", 2);
+    }
+}
+
+#[test]
+fn a_gateway_asks_for_what_has_changed_since_the_list_of_its_configuration() {
+    let fleet = LargeFleet::start(MOST_BACKENDS);
+    let (discovery, counter) = (Discovery::start(&fleet.all("ready")), counter());
+    discovery.say(42, &list(42, false, &fleet.entry(0, "draining")));
+    let node = fleet.gateway(&discovery, &counter);
+    node.wait_for_figure("backends_excluded", 1);
+    assert_eq!(node.figure("backends_known"), MOST_BACKENDS as u64);
+    assert!(node.figure("discovery.list_bytes") < 10_000, "{}", node.figure("discovery.list_bytes"));
+    let calls = discovery.stub.requests();
+    assert!(calls.iter().all(|call| WatchCall::of(call).is_some()), "a whole list was asked for");
+}
--- a/tests/sockets/world/stub.rs
+++ b/tests/sockets/world/stub.rs
@@ -5,6 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
+use std::time::Duration;
 
 /// One HTTP message: its first line, headers in lower case, and body.
 #[derive(Clone, Debug, Default)]
@@ -53,6 +54,8 @@
     Raw(String),
     /// These bytes, then the connection's end.
     RawThenClose(String),
+    /// These bytes, so many at a time with this pause between them.
+    Paced(String, usize, Duration),
     /// Nothing, until the other side closes.
     Silence,
 }
@@ -110,6 +113,14 @@
                     drop(stream.shutdown(Shutdown::Both));
                     return;
                 }
+                Reply::Paced(text, piece, pause) => {
+                    for piece in text.as_bytes().chunks(piece) {
+                        if stream.write_all(piece).is_err() {
+                            return;
+                        }
+                        thread::sleep(pause);
+                    }
+                }
                 Reply::Silence => {}
             }
         }
