Test that what is served does not fall with sixteen times as many, smaller servers

Does the choice of a server lose with thousands of small ones? Change: 60 gateways under virtual time, the same traffic and capacity, with 16 places a server and with one; at least 0.85 of what is served with few must be served with many.

--- /dev/null
+++ b/tests/fleet_size.rs
@@ -0,0 +1,175 @@
+//! The same traffic and capacity for each gateway, with few large servers and with sixteen times as many small ones: what
+//! is served must not fall with the number of servers.
+mod common;
+use common::*;
+use starlinghill::api::*;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+
+const GATEWAYS: u32 = 60;
+/// Requests a second that come to one gateway.
+const TRAFFIC: f64 = 6.0;
+/// Mean work of a request, exponentially distributed.
+const WORK: f64 = 400.0 * MS as f64;
+/// An answer within this is in time.
+const AIM: u64 = 2400 * MS;
+/// The part of all servers' capacity that the traffic takes.
+const LOAD: f64 = 0.7;
+/// Requests that may wait at a server for each one in work.
+const QUEUE: usize = 8;
+const WARM_UP: u64 = 5 * S;
+const END: u64 = 25 * S;
+
+struct Machine {
+    slots: usize,
+    /// When each piece of work ends, and what waits.
+    busy: usize,
+    waiting: VecDeque<(usize, RequestId, u64)>,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Arrival(usize),
+    Done { gateway: usize, id: RequestId, server: usize, sent: u64 },
+    Turned { gateway: usize, id: RequestId, server: usize },
+    Timer(usize, TimerId),
+}
+
+struct Play {
+    rigs: Vec<Rig>,
+    machines: Vec<Machine>,
+    agenda: BinaryHeap<Reverse<(u64, u64, Happening)>>,
+    serial: u64,
+    rng: fastrand::Rng,
+    epoch: u64,
+    clock: u64,
+    attempts: HashMap<(usize, RequestId), usize>,
+    taken: usize,
+    in_time: usize,
+    arrived: HashMap<(usize, RequestId), u64>,
+}
+
+impl Play {
+    fn new(slots: usize, seed: u64) -> Play {
+        let busy = f64::from(GATEWAYS) * TRAFFIC * WORK / S as f64;
+        let servers = (busy / LOAD / slots as f64).ceil() as usize;
+        let gateway = |me: u32| {
+            let mut set = Settings { gateways: GATEWAYS, me, most_units: 1.0, ..settings() };
+            set.classes[0].aim = Micros(AIM);
+            Rig::seeded(seed << 16 | u64::from(me), set, servers as u32)
+        };
+        let rigs: Vec<Rig> = (0..GATEWAYS).map(gateway).collect();
+        let machine = || Machine { slots, busy: 0, waiting: VecDeque::new() };
+        let epoch = rigs[0].now;
+        let mut play = Play {
+            rigs,
+            machines: (0..servers).map(|_| machine()).collect(),
+            agenda: BinaryHeap::new(),
+            serial: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            epoch,
+            clock: 0,
+            attempts: HashMap::new(),
+            taken: 0,
+            in_time: 0,
+            arrived: HashMap::new(),
+        };
+        (0..GATEWAYS as usize).for_each(|gateway| play.expect_arrival(gateway));
+        play
+    }
+    fn at(&mut self, at: u64, what: Happening) {
+        self.serial += 1;
+        self.agenda.push(Reverse((at, self.serial, what)));
+    }
+    fn exponential(&mut self, mean: f64) -> u64 {
+        (-(1.0 - self.rng.f64()).ln() * mean) as u64 + 1
+    }
+    fn expect_arrival(&mut self, gateway: usize) {
+        let after = self.exponential(S as f64 / TRAFFIC);
+        self.at(self.clock + after, Happening::Arrival(gateway));
+    }
+    fn begin(&mut self, server: usize, gateway: usize, id: RequestId, sent: u64) {
+        self.machines[server].busy += 1;
+        let work = self.exponential(WORK);
+        self.at(self.clock + work, Happening::Done { gateway, id, server, sent });
+    }
+    fn carry_out(&mut self, gateway: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(id, server, _) => {
+                    *self.attempts.entry((gateway, id)).or_insert(0) += 1;
+                    let server = server.0 as usize;
+                    let machine = &mut self.machines[server];
+                    if machine.busy < machine.slots {
+                        self.begin(server, gateway, id, self.clock);
+                    } else if machine.waiting.len() < machine.slots * QUEUE {
+                        machine.waiting.push_back((gateway, id, self.clock));
+                    } else {
+                        self.at(self.clock + MS, Happening::Turned { gateway, id, server });
+                    }
+                }
+                Action::SetTimer(id, after) => self.at(self.clock + after.0, Happening::Timer(gateway, id)),
+                _ => {}
+            }
+        }
+    }
+    fn tell(&mut self, gateway: usize, event: Event) {
+        let rig = &mut self.rigs[gateway];
+        rig.now = self.epoch + self.clock;
+        let mut out = Vec::new();
+        rig.gateway.handle(Micros(rig.now), event, &mut out);
+        self.carry_out(gateway, out);
+    }
+    fn ended(&mut self, gateway: usize, id: RequestId, server: usize, outcome: Outcome, took: u64) {
+        let held = self.machines[server].busy + self.machines[server].waiting.len();
+        let report = Report { inflight: Some(held as f64), ..Report::default() };
+        let attempt = self.attempts.get(&(gateway, id)).map_or(0, |n| n - 1);
+        let ended = outcome == Outcome::Ok;
+        let server = ServerId(server as u64);
+        let end =
+            AttemptEnd { id, attempt, server, outcome, took: Micros(took), ended, settled: None, report };
+        self.tell(gateway, Event::AttemptEnded(end));
+    }
+    /// The part of the requests that is answered within the aim.
+    fn served(mut self) -> f64 {
+        while let Some(Reverse((at, _, what))) = self.agenda.pop().filter(|next| next.0 .0 < END) {
+            self.clock = at;
+            match what {
+                Happening::Arrival(gateway) => {
+                    self.expect_arrival(gateway);
+                    let rig = &mut self.rigs[gateway];
+                    rig.now = self.epoch + self.clock;
+                    let (id, out) = rig.request(0, 3, 1, 1.0);
+                    if at >= WARM_UP {
+                        self.taken += 1;
+                        self.arrived.insert((gateway, id), at);
+                    }
+                    self.carry_out(gateway, out);
+                }
+                Happening::Timer(gateway, id) => self.tell(gateway, Event::Timer(id)),
+                Happening::Turned { gateway, id, server } => {
+                    self.ended(gateway, id, server, Outcome::Full, MS)
+                }
+                Happening::Done { gateway, id, server, sent } => {
+                    self.machines[server].busy -= 1;
+                    if let Some((other, next, sent)) = self.machines[server].waiting.pop_front() {
+                        self.begin(server, other, next, sent);
+                    }
+                    let came = self.arrived.remove(&(gateway, id));
+                    self.in_time += usize::from(came.is_some_and(|came| at - came <= AIM));
+                    self.ended(gateway, id, server, Outcome::Ok, at - sent);
+                }
+            }
+        }
+        self.in_time as f64 / self.taken as f64
+    }
+}
+
+#[test]
+fn what_is_served_does_not_fall_with_the_number_of_servers() {
+    for seed in 1..=3 {
+        let [few, many] = [16, 1].map(|slots| Play::new(slots, seed).served());
+        println!("seed {seed}: {few:.3} with few servers, {many:.3} with many");
+        assert!(many >= 0.85 * few, "seed {seed}: {many:.3} with many servers, {few:.3} with few");
+    }
+}
