--- a/tests/sockets/large_lists.rs
+++ b/tests/sockets/large_lists.rs
@@ -189,3 +189,36 @@
     let calls = discovery.stub.requests();
     assert!(calls.iter().all(|call| WatchCall::of(call).is_some()), "a whole list was asked for");
 }
+
+/// Customers that come through one gateway while it remembers them.
+const MANY_CUSTOMERS: usize = 16_000;
+const CLIENTS: usize = 32;
+
+#[test]
+fn a_large_gateway_is_handed_over_with_all_that_it_knows() {
+    let fleet = LargeFleet::start(MOST_BACKENDS);
+    let (discovery, counter, platform) =
+        (Discovery::start(&fleet.all("ready")), counter(), crate::replacement::Platform::new());
+    let config = config(discovery.stub.address, counter.address);
+    let elder = Node::spawn(platform.command(&config));
+    crate::replacement::wait_until_serving(&elder);
+    elder.wait_for_figure("backends_known", MOST_BACKENDS as u64);
+    std::thread::scope(|scope| {
+        for first in 0..CLIENTS {
+            let mut client = elder.client();
+            scope.spawn(move || {
+                for customer in (first..MANY_CUSTOMERS).step_by(CLIENTS) {
+                    let of_customer =
+                        request("look", 3000).replace("00000000b4d65521", &format!("{customer:016x}"));
+                    assert_eq!(client.ask(&of_customer).status(), 200);
+                }
+            });
+        }
+    });
+    assert_eq!(elder.operate("POST", "/backends/s-00000007/maint").status(), 200);
+    elder.wait_for_figure("backends_excluded", 1);
+    let younger = Node::spawn(platform.command(&config));
+    crate::replacement::wait_until_serving(&younger);
+    younger.wait_for_figure("backends_known", MOST_BACKENDS as u64);
+    assert_eq!(younger.figure("backends_excluded"), 1, "the order went over");
+}
