Hand a gateway over whole, however many customers and backends it knows

Cause: LONGEST of 4 MB and STEP_TIME of 0.5 s for a whole line in src/net/handover.rs: bounds of no derivation that a gateway with 3,200 backends and 16,000 customers passes. The younger process then started as after a crash: an operator's order was lost, and what the elder had spent of quotas with it. Change: the line may have what 3,200 backends twice and 30,000 customers take; it is waited for as long as it comes, 3 s for its first bytes, as the elder has to put it together, and 10 s in all; too long or senseless words are logged with their size and reason.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -4,7 +4,7 @@
 //! Lines of JSON go both ways over that one connection. Nothing here keeps a process from serving: a peer that
 //! is dead, silent or garbled costs a moment, and then the process goes on alone.
 
-use super::discovery::MemberList;
+use super::discovery::{MemberList, MOST_BACKENDS};
 use super::drain::Duty;
 use super::driver::{Control, Orders};
 use crate::state::Estate;
@@ -14,17 +14,29 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{interval, sleep, timeout};
 use tracing::{info, warn};
 
-/// The longest wait for any one step of the peer's.
+/// The longest wait for any one step of the peer's: for its next bytes, or for it to take some.
 const STEP_TIME: Duration = Duration::from_millis(500);
-/// The longest line.
-const LONGEST: u64 = 4 << 20;
+/// The longest wait for the first bytes of what the elder leaves, which it has to put together with what it has of a core.
+const WILL_TIME: Duration = Duration::from_secs(3);
+/// The longest wait for a whole line, however long: as long as a process may take until it is ready.
+const LINE_TIME: Duration = Duration::from_secs(10);
+/// The most bytes of a backend and of a customer in what a process leaves.
+const LONGEST_BACKEND: usize = 1200;
+const LONGEST_CUSTOMER: usize = 800;
+/// Customers of a gateway within the two minutes in which it remembers them, at 250 new ones a second.
+const MOST_CUSTOMERS: usize = 30_000;
+/// The longest line, in bytes: 31.7 MB, all that a gateway of the largest fleet can leave. Read as it comes, so that no more
+/// memory is taken than the line has.
+const LONGEST: usize = 2 * MOST_BACKENDS * LONGEST_BACKEND + MOST_CUSTOMERS * LONGEST_CUSTOMER;
+/// Bytes that are written in one step.
+const PIECE: usize = 64 * 1024;
 /// How often the elder tells what it still holds.
 const TELL_EVERY: Duration = Duration::from_millis(100);
 /// The pause after an accept that failed.
@@ -75,20 +87,50 @@
 
     /// The next word; none once the peer is gone or makes no sense. May be called off and called again.
     async fn hear(&mut self) -> Option<Word> {
-        let left = LONGEST.saturating_sub(self.begun.len() as u64);
-        (&mut self.reader).take(left).read_until(b'\n', &mut self.begun).await.ok()?;
-        let line = std::mem::take(&mut self.begun);
-        line.ends_with(b"\n").then(|| serde_json::from_slice(&line).ok())?
+        while !self.hear_piece().await? {}
+        self.whole_line()
+    }
+
+    /// The same where the peer is to begin within this time and then not to stop for longer than a step may take.
+    async fn hear_within(&mut self, first: Duration) -> Option<Word> {
+        let line = async {
+            let mut limit = first;
+            while !timeout(limit, self.hear_piece()).await.ok()?? {
+                limit = STEP_TIME;
+            }
+            self.whole_line()
+        };
+        timeout(LINE_TIME, line).await.ok()?
     }
 
-    async fn hear_soon(&mut self) -> Option<Word> {
-        timeout(STEP_TIME, self.hear()).await.ok().flatten()
+    /// Reads what has come of the next line; whether that is all of it.
+    async fn hear_piece(&mut self) -> Option<bool> {
+        let come = self.reader.fill_buf().await.ok().filter(|come| !come.is_empty())?;
+        let end = come.iter().position(|byte| *byte == b'\n');
+        let length = end.map_or(come.len(), |end| end + 1);
+        self.begun.extend_from_slice(&come[..length]);
+        self.reader.consume(length);
+        if self.begun.len() > LONGEST {
+            warn!(bytes = self.begun.len(), limit = LONGEST, "the other process's word is too long");
+            return None;
+        }
+        Some(end.is_some())
+    }
+
+    fn whole_line(&mut self) -> Option<Word> {
+        let line = std::mem::take(&mut self.begun);
+        let word = serde_json::from_slice(&line);
+        word.inspect_err(|error| warn!(%error, bytes = line.len(), "the other process's word makes no sense"))
+            .ok()
     }
 
     async fn tell(&mut self, word: &Word) -> Option<()> {
         let mut text = serde_json::to_vec(word).ok()?;
         text.push(b'\n');
-        timeout(STEP_TIME, self.writer.write_all(&text)).await.ok()?.ok()
+        for piece in text.chunks(PIECE) {
+            timeout(STEP_TIME, self.writer.write_all(piece)).await.ok()?.ok()?;
+        }
+        Some(())
     }
 }
 
@@ -125,7 +167,7 @@
         if line.tell(&Word::Hello).await.is_none() {
             return;
         }
-        let Some(Word::Will(will)) = line.hear_soon().await else {
+        let Some(Word::Will(will)) = line.hear_within(WILL_TIME).await else {
             warn!("the process before this one tells nothing that makes sense; starting as after a crash");
             return;
         };
@@ -180,7 +222,7 @@
                 };
                 // One at a time: who asks meanwhile waits, and gives up in time.
                 let mut line = Line::new(stream);
-                if !matches!(line.hear_soon().await, Some(Word::Hello)) {
+                if !matches!(line.hear_within(STEP_TIME).await, Some(Word::Hello)) {
                     continue;
                 }
                 if self.hand_over(line).await {
