Look at servers in slow start without walking over all of the fleet for each request

Change: the servers in slow start are kept in a set; chance draws among those of the own part alone, in the same order; all are looked at once in 10 us for each server, which is every tick up to 400 of 4 ms; the ring is split in place of stepped through.

--- /dev/null
+++ b/benches/request_cost.rs
@@ -0,0 +1,126 @@
+//! What the module takes for one request and its answer, and for one list, by the number of backends. Run by hand:
+//! `cargo bench --bench request_cost`; the table stands in `docs/decisions/0010-fleet-size.md`.
+
+use divan::Bencher;
+use starlinghill::api::*;
+use starlinghill::rules::Gateway;
+
+const SIZES: [u32; 4] = [50, 200, 800, 3200];
+const GATEWAYS: u32 = 300;
+const SECOND: u64 = 1_000_000;
+
+fn main() {
+    divan::main();
+}
+
+fn settings() -> Settings {
+    let class = Class {
+        aim: Micros(800_000),
+        deadline: Micros(3 * SECOND),
+        worth: 1.0,
+        late_worth: 0.0,
+        effect: Effect::Safe,
+        group: Group::All,
+        window: Micros(SECOND),
+        stream: false,
+    };
+    let plan = Plan {
+        rate: 0.0,
+        burst: 0.0,
+        open: 0.0,
+        price: 1.0,
+        over_worth: 0.0,
+        over_cost: 1.0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+    };
+    Settings {
+        gateways: GATEWAYS,
+        me: 7,
+        classes: vec![class],
+        plans: vec![plan],
+        max_attempts: 4,
+        most_units: 4.0,
+        cold_from: 0.3,
+        cold: Micros(10 * SECOND),
+        fall_multiple: 2.0,
+        tip_after: Micros(2 * SECOND),
+        tick: Micros(4_000),
+        ..Settings::default()
+    }
+}
+
+fn entries(servers: u32, started: Option<Micros>) -> Vec<ServerEntry> {
+    let entry = |number: u32| ServerEntry {
+        server: ServerId(u64::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        zone: ZoneId(0),
+        cell: CellId(u64::from(number / 8)),
+        listed: Listed::InService,
+        weight: 1.0,
+        started: started.filter(|_| number.is_multiple_of(2)),
+        label: LabelId::default(),
+    };
+    (0..servers).map(entry).collect()
+}
+
+/// A gateway, and its clock and next request.
+struct Driven {
+    gateway: Gateway,
+    now: Micros,
+    next: u64,
+    out: Vec<Action>,
+}
+
+impl Driven {
+    fn new(servers: u32, half_cold: bool) -> Driven {
+        let now = Micros(1_000 * SECOND);
+        let mut gateway = Gateway::new(7, settings()).expect("sound settings");
+        let mut out = Vec::new();
+        let list = entries(servers, half_cold.then_some(now));
+        gateway.handle(now, Event::Servers(ListScope::Whole, list), &mut out);
+        Driven { gateway, now, next: 0, out }
+    }
+    /// One request and its answer; the clock stands still, so that what is cold stays cold.
+    fn request(&mut self) {
+        self.next += 1;
+        let id = RequestId(self.next);
+        let deadline = self.now + Micros(3 * SECOND);
+        let customer = CustomerId(self.next % 100);
+        let arrival = Arrival { id, customer, deadline, units: 1.0, spread: 2, ..Arrival::default() };
+        self.gateway.handle(self.now, Event::Request(arrival), &mut self.out);
+        let sent = self.out.drain(..).find_map(|action| match action {
+            Action::Send(_, server, _) => Some(server),
+            _ => None,
+        });
+        if let Some(server) = sent {
+            let (outcome, took, report) = (Outcome::Ok, Micros(50_000), Report::default());
+            let end =
+                AttemptEnd { id, attempt: 0, server, outcome, took, ended: true, settled: None, report };
+            self.gateway.handle(self.now, Event::AttemptEnded(end), &mut self.out);
+        }
+        self.out.clear();
+    }
+}
+
+#[divan::bench(args = SIZES)]
+fn request_while_none_is_cold(bencher: Bencher, servers: u32) {
+    let mut driven = Driven::new(servers, false);
+    bencher.bench_local(|| driven.request());
+}
+
+#[divan::bench(args = SIZES)]
+fn request_while_half_are_cold(bencher: Bencher, servers: u32) {
+    let mut driven = Driven::new(servers, true);
+    bencher.bench_local(|| driven.request());
+}
+
+#[divan::bench(args = SIZES)]
+fn whole_list(bencher: Bencher, servers: u32) {
+    let mut driven = Driven::new(servers, false);
+    let now = driven.now;
+    let list = || entries(servers, None);
+    bencher.with_inputs(list).bench_local_values(|list| {
+        driven.gateway.handle(now, Event::Servers(ListScope::Whole, list), &mut driven.out);
+    });
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,7 +14,7 @@
 use crate::api::*;
 use crate::state::*;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The source's breaker: failures in a row that open it, and its cooldown.
 const FAILURES_TO_OPEN: f64 = 3.0;
@@ -58,6 +58,9 @@
 const PASS_GROW: f64 = 0.01;
 /// How fast what a server said of its load goes stale, in seconds.
 const TOLD_SPAN: f64 = 1.0;
+/// All servers are looked at for the slow start at most once in this time for each of them: at every tick up to some
+/// hundreds, seldom enough in the largest fleet that requests there cost no more.
+const PASS_EVERY: Micros = Micros(10);
 /// Attempts that a gateway with a small part may have out, whatever the bounds: fewer hold what comes by
 /// chance at the same moment.
 const FEW_OUT: f64 = 2.0;
@@ -100,6 +103,13 @@
     customers: BTreeMap<CustomerId, Customer>,
     requests: BTreeMap<RequestId, Request>,
     servers: BTreeMap<ServerId, Server>,
+    /// Those of them in slow start, so that a request need not look at all of a large fleet for them.
+    cold: BTreeSet<ServerId>,
+    /// When all of them were looked at last.
+    swept: Micros,
+    /// Chance decides which of them may be sent to, and those that it drew for the last request.
+    draws: bool,
+    drawn: Vec<ServerId>,
     /// The listed servers, in an order that all gateways share.
     ring: Vec<ServerId>,
     timers: BTreeMap<TimerId, Timer>,
@@ -317,6 +327,9 @@
                 s.cold_room = TokenBucket { level, depth: 1.0, rate: 0.0, at: now };
             }
             s.cold_since = started.or(s.cold_since);
+            if s.cold_since.is_some() {
+                self.cold.insert(e.server);
+            }
             (s.zone, s.cell, s.label) = (e.zone, e.cell, e.label);
             s.weight = if e.weight > 0.0 { e.weight } else { 1.0 };
             s.listed = Some(e.listed).filter(|&listed| listed != Listed::Gone);
@@ -349,6 +362,7 @@
             };
             s.cold_since = Some(now);
             s.cold_room = TokenBucket { level: 0.0, depth: 1.0, rate: 0.0, at: now };
+            self.cold.insert(server);
         }
         self.line_up();
     }
@@ -408,7 +422,11 @@
             let (zone, cell, label, weight) = (own.zone, own.cell, own.label, own.weight);
             let (listed, out) = (own.listed, own.out);
             *own = Server { zone, cell, label, weight, listed, out, ..theirs };
+            if own.cold_since.is_some() {
+                self.cold.insert(id);
+            }
         }
+        self.draws = false;
         let plans = self.set.plans.len();
         self.customers.extend(estate.customers.into_iter().filter(|(_, c)| c.plan < plans));
         (self.breaker, self.ask, self.flow) =
--- a/src/rules/choice.rs
+++ b/src/rules/choice.rs
@@ -31,7 +31,8 @@
     /// gateways in a row, through which one customer comes.
     fn own_part_first(&self) -> impl Iterator<Item = ServerId> + '_ {
         let start = (f64::from(self.set.me) * 0.618_033_988_749_895).fract() * self.ring.len() as f64;
-        self.ring.iter().cycle().skip(start as usize).take(self.ring.len()).copied()
+        let (before, first) = self.ring.split_at((start as usize).min(self.ring.len()));
+        first.iter().chain(before).copied()
     }
 
     /// The allowed server with the least expected wait, beyond the own part only if that has none.
@@ -146,6 +147,7 @@
             if unreached && s.cold_since.is_none() {
                 s.cold_since = Some(now);
                 s.cold_room = TokenBucket { level: 0.0, depth: 1.0, rate: 0.0, at: now };
+                self.cold.insert(server);
             }
         }
         if matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) {
@@ -179,26 +181,54 @@
     /// this gateway, times the part of its capacity that it must have by now. Warm servers bear that load,
     /// and each gateway scales its own, so the sum stays in proportion.
     fn warm_up(&mut self, fresh: bool) {
-        let (now, set) = (self.now, &self.set);
-        if self.servers.values().all(|s| s.cold_since.is_none()) {
+        if self.cold.is_empty() {
             return;
         }
+        let due = self.now >= self.swept + PASS_EVERY.times(self.servers.len() as f64);
+        if due {
+            self.swept = self.now;
+            self.end_slow_starts();
+        }
         if self.sparse() {
+            if !std::mem::replace(&mut self.draws, true) {
+                self.empty_cold_rooms();
+            }
             return self.draw_cold(fresh);
         }
+        self.draws = false;
+        if due {
+            self.fill_cold_rooms();
+        }
+    }
+
+    fn end_slow_starts(&mut self) {
+        let (now, servers, lasts) = (self.now, &mut self.servers, self.set.cold);
+        self.cold.retain(|id| {
+            let Some(s) = servers.get_mut(id) else { return false };
+            s.cold_since = s.cold_since.filter(|since| now < *since + lasts);
+            s.cold_since.is_some()
+        });
+    }
+
+    /// No cold server may be sent to until it is drawn.
+    fn empty_cold_rooms(&mut self) {
+        for id in &self.cold {
+            self.servers.get_mut(id).into_iter().for_each(|s| s.cold_room.level = 0.0);
+        }
+    }
+
+    fn fill_cold_rooms(&mut self) {
+        let now = self.now;
         let usable = |s: &&Server| s.in_service() && now >= s.ejected_until;
         let warm: f64 =
             self.servers.values().filter(usable).filter(|s| s.cold_since.is_none()).map(|s| s.weight).sum();
         let all: f64 = self.servers.values().filter(|s| s.in_service()).map(|s| s.weight).sum();
         let per_weight = self.flow_rate() / if warm * 3.0 >= all { warm } else { all.max(1e-9) };
-        for s in self.servers.values_mut() {
+        for id in &self.cold {
+            let Some(s) = self.servers.get_mut(id) else { continue };
             let Some(since) = s.cold_since else { continue };
-            if now >= since + set.cold {
-                s.cold_since = None;
-                continue;
-            }
-            let part = warmed(set, now - since);
-            s.cold_room.rate = per_weight * s.weight * part * (set.fall_multiple / 2.0).min(1.0);
+            let part = warmed(&self.set, now - since);
+            s.cold_room.rate = per_weight * s.weight * part * (self.set.fall_multiple / 2.0).min(1.0);
             s.cold_room.fill(now);
         }
     }
@@ -208,6 +238,9 @@
     /// do now, or could do warm where hardly any of it is warm. Nothing is saved up and no flow need be
     /// known, so the sum over all gateways stays in proportion, also when all have just started.
     fn draw_cold(&mut self, fresh: bool) {
+        for id in std::mem::take(&mut self.drawn) {
+            self.servers.get_mut(&id).into_iter().for_each(|s| s.cold_room.level = 0.0);
+        }
         let (now, reach) = (self.now, self.reach());
         let own: Vec<ServerId> = self.own_part_first().take(reach).collect();
         let (mut warm, mut present, mut all) = (0.0, 0.0, 0.0);
@@ -217,15 +250,16 @@
             warm += if s.cold_since.is_none() { s.weight } else { 0.0 };
         }
         let base = if warm * 3.0 >= all { present } else { all };
-        for (sid, s) in &mut self.servers {
+        let mut cold: Vec<ServerId> = own.into_iter().filter(|id| self.cold.contains(id)).collect();
+        // Draws in an order that does not depend on whose part it is.
+        cold.sort_unstable();
+        for id in cold {
+            let Some(s) = self.servers.get_mut(&id) else { continue };
             let Some(since) = s.cold_since else { continue };
-            if now >= since + self.set.cold {
-                s.cold_since = None;
-                continue;
-            }
             let part = s.weight * warmed(&self.set, now - since) * (self.set.fall_multiple / 2.0).min(1.0);
-            let drawn = fresh && own.contains(sid) && self.rng.f64() * base < part;
+            let drawn = fresh && self.rng.f64() * base < part;
             s.cold_room.level = if drawn { self.set.most_units } else { 0.0 };
+            self.drawn.extend(drawn.then_some(id));
         }
     }
 }
