--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -12,6 +12,7 @@
 mod rollout;
 mod scarcity;
 mod size;
+mod system_calls;
 mod takeover;
 mod world;
 
