Go on accepting at once after an error of one connection

Cause: each accept that failed was followed by a pause of 20 ms (100 ms for a successor), whatever the error; accept(2) passes errors on that were pending on one connection, and EINTR. Change: Accepting tells errors of one connection from shortages; only those pause, and the 64th in a row; one line in ten seconds with the count.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -4,6 +4,7 @@
 //! Lines of JSON go both ways over that one connection. Nothing here keeps a process from serving: a peer that
 //! is dead, silent or garbled costs a moment, and then the process goes on alone.
 
+use super::accepting::Accepting;
 use super::discovery::{MemberList, MOST_BACKENDS};
 use super::drain::Duty;
 use super::driver::{Control, Orders};
@@ -18,7 +19,7 @@
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{interval, sleep, timeout};
+use tokio::time::{interval, timeout};
 use tracing::{info, warn};
 
 /// The longest wait for any one step of the peer's: for its next bytes, or for it to take some.
@@ -39,8 +40,6 @@
 const PIECE: usize = 64 * 1024;
 /// How often the elder tells what it still holds.
 const TELL_EVERY: Duration = Duration::from_millis(100);
-/// The pause after an accept that failed.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Words that may wait to be written to the peer.
 pub const WORDS: usize = 64;
 
@@ -211,15 +210,16 @@
                 Ok(listener) => listener,
                 Err(error) => return warn!(%error, path = %self.path.display(), "no process can take over"),
             };
+            let mut accepting = Accepting::default();
             loop {
                 let stream = match listener.accept().await {
                     Ok((stream, _)) => stream,
                     Err(error) => {
-                        warn!(%error, "accepting a successor failed");
-                        sleep(ACCEPT_PAUSE).await;
+                        accepting.failed(&error).await;
                         continue;
                     }
                 };
+                accepting.succeeded();
                 // One at a time: who asks meanwhile waits, and gives up in time.
                 let mut line = Line::new(stream);
                 if !matches!(line.hear_within(STEP_TIME).await, Some(Word::Hello)) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The real gateway: the decision module on sockets.
 
+mod accepting;
 mod arms;
 mod asked;
 pub mod backend;
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -2,6 +2,7 @@
 //! the gateway. It has connections of its own, so that neither clients nor callers that say nothing can keep
 //! an operator waiting.
 
+use super::accepting::Accepting;
 use super::drain::Duty;
 use super::driver::{Control, Orders};
 use super::figures::Figures;
@@ -22,8 +23,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
-use tracing::{debug, info, warn};
+use tokio::time::timeout;
+use tracing::{debug, info};
 
 /// The most callers at once; one more ends the one that has waited longest.
 pub const CALLERS: usize = 8;
@@ -33,8 +34,6 @@
 const ORDER_TIME: Duration = Duration::from_millis(700);
 /// The longest head of a call.
 const MAX_HEAD: usize = 8 * 1024;
-/// The pause after an accept that failed.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What the calls need.
 pub struct Desk {
@@ -53,15 +52,16 @@
 /// Answers operators for ever.
 pub async fn serve(listener: TcpListener, desk: Rc<Desk>) {
     let mut callers: VecDeque<AbortHandle> = VecDeque::with_capacity(CALLERS);
+    let mut accepting = Accepting::default();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                warn!(%error, "accepting an operator failed");
-                sleep(ACCEPT_PAUSE).await;
+                accepting.failed(&error).await;
                 continue;
             }
         };
+        accepting.succeeded();
         callers.retain(|caller| !caller.is_finished());
         if callers.len() >= CALLERS {
             callers.pop_front().into_iter().for_each(|longest| longest.abort());
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,5 +1,6 @@
 //! Clients: taking their requests, answering them, and `/_health`.
 
+use super::accepting::Accepting;
 use super::closing::{end_after_answer, ended_by_client};
 use super::crowd::{Busy, Crowd, SWEEP_EVERY};
 use super::download::{BrokeOff, Giving};
@@ -33,8 +34,6 @@
 
 /// Places are short where less than one in so many is free.
 const SHORT: usize = 4;
-/// The pause after an accept that failed, which it does at once while descriptors are short.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often a connection that waits for a place looks for one that can be closed for it.
 const MAKE_ROOM_EVERY: Duration = Duration::from_millis(2);
 /// How long after SIGTERM new connections are taken; they go on coming for 0.4 s.
@@ -103,6 +102,7 @@
     let ending_at = |last_call: Option<Instant>| last_call.unwrap_or_else(Instant::now) + front.last_wait();
     let mut last_call = stops().then(Instant::now);
     let mut sweep = interval(SWEEP_EVERY);
+    let mut accepting = Accepting::default();
     // Accepted, without a place yet.
     let mut waiting: Option<TcpStream> = None;
     loop {
@@ -111,15 +111,13 @@
             biased;
             accepted = listener.accept(), if !room && !front.duty.is_replaced() => match accepted {
                 Ok((stream, _)) => {
+                    accepting.succeeded();
                     waiting = Some(stream);
                     if places.free() == 0 {
                         crowd.make_room();
                     }
                 }
-                Err(error) => {
-                    warn!(%error, "accept failed");
-                    sleep(ACCEPT_PAUSE).await;
-                }
+                Err(error) => accepting.failed(&error).await,
             },
             place = places.take(), if room => {
                 if let Some(stream) = waiting.take() {
