Hold no shortage of this machine against a backend

Cause: every connection that did not come up counted as 'could not connect' and took its backend out for a second or more; where this machine was short (EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS, ENOMEM, EAGAIN, EINTR) that takes out all backends one after the other. Change: such an attempt was never sent and is not judged; counted as attempts_unsent.shortage.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -14,8 +14,10 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Response, StatusCode};
+use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -213,6 +215,7 @@
                     let opening = Connection::open(backend.address, self.memory.buffer());
                     match timeout(self.dial_timeout, opening).await {
                         Ok(Ok(connection)) => (connection, false),
+                        Ok(Err(error)) if is_own_shortage(&error) => return self.unsent(Unsent::Shortage),
                         _ => return Outcome::ConnectFailed.into(),
                     }
                 }
@@ -320,6 +323,20 @@
     }
 }
 
+/// Whether a connection failed for want of something on this machine, so that nothing is to be held against the backend.
+fn is_own_shortage(error: &io::Error) -> bool {
+    const SHORTAGES: [Errno; 7] = [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+        Errno::ADDRNOTAVAIL,
+        Errno::AGAIN,
+        Errno::INTR,
+    ];
+    Errno::from_io_error(error).is_some_and(|errno| SHORTAGES.contains(&errno))
+}
+
 /// What a backend says of its load: `TEXT name=number, name=number`. What can't be read is passed over.
 /// Also tells whether all of it could be read.
 fn report_of(headers: &HeaderMap) -> (Report, bool) {
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -47,6 +47,8 @@
     Unwanted,
     /// No descriptor is left for a connection.
     NoPlace,
+    /// This machine was short of what a connection takes; its backend was not asked.
+    Shortage,
     /// The attempt's time was over before its first byte.
     OutOfTime,
     /// Another gateway owns the request's work.
