Read and write on through interrupted and short calls

Cause: connections to backends, counter and discovery read by the runtime's own call, which hands EINTR on as the end of the connection and takes a read that filled less than the buffer for a drained socket: the next news of it never comes, and the answer waits for its deadline. Change: one module for both sides' reads and writes, which waits on EAGAIN alone; it replaces what stood in crowd.rs for clients. A trial that retried EINTR alone still failed by short reads.

--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -2,6 +2,7 @@
 //! first when room is short.
 
 use super::drain::Duty;
+use super::stream;
 use rustix::net::{shutdown, Shutdown};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -217,19 +218,6 @@
 }
 
 impl Socket {
-    fn poll_write_with(
-        &self,
-        cx: &mut Context,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match write(&self.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
-            }
-        }
-    }
     fn wrote(&mut self, done: Poll<io::Result<usize>>, cx: &mut Context) -> Poll<io::Result<usize>> {
         self.peer.unwritten.set(true);
         if done.is_ready() {
@@ -252,24 +240,17 @@
 
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let done = loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read_buf(buf) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => break done.map(drop),
-            }
-        };
-        if buf.filled().len() > before {
+        let done = ready!(stream::poll_read(&self.stream, cx, buf));
+        if matches!(done, Ok(length) if length > 0) {
             self.crowd.heard(&self.peer);
         }
-        Poll::Ready(done)
+        Poll::Ready(done.map(drop))
     }
 }
 
 impl AsyncWrite for Socket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = self.poll_write_with(cx, |stream| stream.try_write(buf));
+        let done = stream::poll_write(&self.stream, cx, buf);
         self.wrote(done, cx)
     }
     fn poll_write_vectored(
@@ -277,7 +258,7 @@
         cx: &mut Context,
         bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        let done = self.poll_write_with(cx, |stream| stream.try_write_vectored(bufs));
+        let done = stream::poll_write_vectored(&self.stream, cx, bufs);
         self.wrote(done, cx)
     }
     fn is_write_vectored(&self) -> bool {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,6 +1,7 @@
 //! One HTTP/1.1 connection to a backend, the counter or discovery. It never sends anything by itself: a call
 //! is written once, and the caller learns whether any of it was.
 
+use super::stream;
 use super::upload::{Progress, Sending};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -58,23 +59,23 @@
 }
 
 impl AsyncRead for Metered {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        stream::poll_read(&self.stream, cx, buf).map_ok(drop)
     }
 }
 
 impl AsyncWrite for Metered {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let done = stream::poll_write(&self.stream, cx, buf);
         self.note(&done);
         done
     }
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context,
         bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let done = stream::poll_write_vectored(&self.stream, cx, bufs);
         self.note(&done);
         done
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,6 +29,7 @@
 pub mod server;
 mod share;
 mod sparing;
+mod stream;
 mod taking;
 mod upload;
 mod work;
