Reckon when a backend started by both readings of the wall clock

Cause: up_since_ms is a moment of the wall clock that all machines read; it was held against this process's reading of that clock at its own start. After a step back by an hour whoever starts counts as warm for an hour, and can be pushed over; after a step forward as cold for an hour. Change: its age is taken once for each start, by the clock as read at the start and as it is now, the shorter of the two, never below nothing.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -86,6 +86,8 @@
     backends: HashMap<ServerId, Rc<Backend>>,
     /// The list of backends as it was last told.
     listed: HashMap<ServerId, Member>,
+    /// When backends started: as told, in milliseconds of the wall clock, and on the own clock.
+    starts: HashMap<ServerId, (u64, Micros)>,
     revision: u64,
     /// The way to the other process of this gateway, while there is one.
     other: Option<mpsc::Sender<Word>>,
@@ -141,6 +143,7 @@
             order: Order::default(),
             backends: HashMap::new(),
             listed: HashMap::new(),
+            starts: HashMap::new(),
             revision: 0,
             other: None,
             requests: HashMap::new(),
--- a/src/net/driver/members.rs
+++ b/src/net/driver/members.rs
@@ -103,10 +103,11 @@
                 cell: CellId(member.cell),
                 listed,
                 weight: member.size,
-                started: Some(Micros(member.up_since_ms.saturating_mul(1000))).filter(|at| at.0 > 0),
+                started: self.start_of(server, member.up_since_ms),
                 label: self.site.label(&member.flavor),
             });
             if listed == Listed::Gone {
+                self.starts.remove(&server);
                 self.backends.remove(&server);
                 self.listed.remove(&server);
             } else {
@@ -116,6 +117,7 @@
         }
         if list.complete {
             let told: HashSet<ServerId> = entries.iter().map(|e| e.server).collect();
+            self.starts.retain(|server, _| told.contains(server));
             self.backends.retain(|server, backend| {
                 let stays = told.contains(server);
                 if !stays {
@@ -130,6 +132,21 @@
         self.batch.push(Event::Servers(scope, entries));
     }
 
+    /// When a backend started, on this gateway's clock: reckoned once for each start, so that a step of the wall clock makes
+    /// no new one of it.
+    fn start_of(&mut self, server: ServerId, up_since_ms: u64) -> Option<Micros> {
+        if up_since_ms == 0 {
+            return None;
+        }
+        let known = self.starts.get(&server).filter(|(told, _)| *told == up_since_ms);
+        let at = match known {
+            Some((_, at)) => *at,
+            None => self.clock.now() - self.clock.age_of(Micros(up_since_ms.saturating_mul(1000))),
+        };
+        self.starts.insert(server, (up_since_ms, at));
+        Some(at)
+    }
+
     pub(super) fn become_ready(&mut self) {
         self.ready_at = None;
         if self.duty.listed() {
--- a/src/net/driver/words.rs
+++ b/src/net/driver/words.rs
@@ -116,6 +116,12 @@
     pub fn at(&self, instant: Instant) -> Micros {
         self.base + Micros(instant.saturating_duration_since(self.start).as_micros() as u64)
     }
+    /// How long ago a moment of the wall clock was. That clock may have stepped since this process read it, and all machines
+    /// read one: by the clock of before and by that of now, the shorter of the two, as who started just now is cold.
+    pub fn age_of(&self, unix: Micros) -> Micros {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        (self.now() - unix).min(Micros(wall.as_micros() as u64) - unix)
+    }
     pub(super) fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros((at - self.base).0)
     }
--- a/tests/sockets/system_calls.rs
+++ b/tests/sockets/system_calls.rs
@@ -1,10 +1,10 @@
-//! System calls that fail as Linux documents; the shim of `lab/shim` does it to the program.
+//! System calls that fail as Linux documents, and a wall clock that steps: the shim of `lab/shim` does it to the program.
 
 use crate::world::*;
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The library to load; built beside this test.
 fn library() -> PathBuf {
@@ -120,3 +120,33 @@
         assert!(faulty.struck(fault) > 5, "{fault} did not strike");
     }
 }
+
+#[test]
+fn a_backend_that_starts_after_the_wall_clock_was_set_back_is_cold() {
+    // The slower one is chosen less while the other is taken to be warm.
+    let old = Stub::start(|_| {
+        std::thread::sleep(Duration::from_millis(30));
+        http("200 OK", "old")
+    });
+    let new = Stub::start(|_| http("200 OK", "new"));
+    let both = [member("s-1", old.address, "ready"), member("s-2", new.address, "ready")].join(",");
+    let (discovery, counter) = (Discovery::start(&both), counter());
+    let mut faulty = Faulty::new(&config(discovery.stub.address, counter.address), "SHIM_CLOCK", "-3600@0.5");
+    let node = faulty.start();
+    std::thread::sleep(Duration::from_millis(1500));
+    let mut client = node.client();
+    for _ in 0..20 {
+        assert_eq!(client.ask(&request("look", 3000)).status(), 200);
+    }
+    // It starts now, by the clock that all machines read: an hour back.
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis() as u64;
+    let started = member("s-2", new.address, "ready")
+        .replace(r#""up_since_ms":0"#, &format!(r#""up_since_ms":{}"#, now - 3_600_000));
+    discovery.tell(42, false, &started);
+    let before = new.requests().len();
+    for _ in 0..100 {
+        assert_eq!(client.ask(&request("look", 3000)).status(), 200);
+    }
+    let got = new.requests().len() - before;
+    assert!(got <= 25, "{got} of 100 went to a backend that has just started");
+}
