Nest overlapping pauses, cuts and counter limits of the lab, so that each lasts to its own end

Change: of a gateway's overlapping pauses the plan has the first begin and the last end; an excuse lasts until none that is alike goes on; one limit is taken off at a time. Impair, slow, errors, silence and lists count up and down already.

--- a/lab/src/counter.rs
+++ b/lab/src/counter.rs
@@ -100,7 +100,12 @@
         let limits = &mut lock(&self.state).limits;
         match on {
             true => limits.push(factor),
-            false => limits.retain(|f| *f != factor),
+            // One of those that are alike: another may go on.
+            false => {
+                if let Some(place) = limits.iter().position(|limit| *limit == factor) {
+                    limits.remove(place);
+                }
+            }
         }
     }
 
--- a/lab/src/plan/faults.rs
+++ b/lab/src/plan/faults.rs
@@ -3,7 +3,7 @@
 use super::{us, Draw, Us};
 use crate::scenario::{Fault, Kind, Scenario};
 use crate::targets::{Party, Target};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Something that is done to the fleet at a moment.
 #[derive(Debug, Clone)]
@@ -142,7 +142,21 @@
         });
     }
     steps.sort_by_key(|step| step.at);
-    (steps, bands)
+    (nest_pauses(steps), bands)
+}
+
+/// Of pauses of one gateway that overlap, the first begin and the last end count: the end of one wakes nobody that
+/// another still holds.
+fn nest_pauses(steps: Vec<Step>) -> Vec<Step> {
+    let mut held: BTreeMap<usize, u32> = BTreeMap::new();
+    let changes = |step: &Step| {
+        let Action::Pause { gateway, on } = step.action else { return true };
+        let depth = held.entry(gateway).or_default();
+        let before = *depth;
+        *depth = if on { before + 1 } else { before.saturating_sub(1) };
+        (before == 0) != (*depth == 0)
+    };
+    steps.into_iter().filter(changes).collect()
 }
 
 /// All but clients: those have to be named.
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -459,11 +459,16 @@
     for (place, step) in plan.steps.iter().enumerate() {
         let (one, other, until) = match &step.action {
             Action::Link { from, to, change, on: true } => {
-                let same = |action: &Action| {
-                    matches!(action, Action::Link { from: f, to: t, change: c, on: false }
-                        if f == from && t == to && c == change)
+                // The end at which none that is alike goes on.
+                let mut depth = 0;
+                let mut ends = |action: &Action| match action {
+                    Action::Link { from: f, to: t, change: c, on } if f == from && t == to && c == change => {
+                        depth += if *on { 1 } else { -1 };
+                        depth == 0
+                    }
+                    _ => false,
                 };
-                let end = plan.steps[place..].iter().find(|later| same(&later.action)).map(|later| later.at);
+                let end = plan.steps[place..].iter().find(|later| ends(&later.action)).map(|later| later.at);
                 (from, to, end.unwrap_or(u64::MAX))
             }
             Action::Reset { one, other } => (one, other, step.at),
