--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -47,13 +47,19 @@
 
 
 def free_port(kind=socket.SOCK_STREAM):
-    while True:
+    """A free port below those that the system gives to outgoing connections, so that none of these takes it."""
+    for _ in range(10_000):
+        port = random.SystemRandom().randrange(12_000, 32_000)
+        if port in _taken:
+            continue
         with socket.socket(socket.AF_INET, kind) as probe:
-            probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-        if port not in _taken:
-            _taken.add(port)
-            return port
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _taken.add(port)
+        return port
+    raise CannotRun("no free port")
 
 
 # --- HTTP ---------------------------------------------------------------------------------------------------------
@@ -297,7 +303,7 @@
             for b in range(self.count):
                 if a != b:
                     transport, _ = await loop.create_datagram_endpoint(
-                        lambda a=a, b=b: Door(self, a, b), local_addr=(HOST, 0))
+                        lambda a=a, b=b: Door(self, a, b), local_addr=(HOST, free_port(socket.SOCK_DGRAM)))
                     self.transports[a, b] = transport
                     self.door[a, b] = transport.get_extra_info("sockname")[1]
 
