--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -4,6 +4,7 @@
 All of it runs in one event loop; the gateways are separate processes, started with the command of the deploy file.
 """
 import asyncio
+import atexit
 import json
 import os
 import random
@@ -362,6 +363,18 @@
     }
 
 
+_processes = []
+
+
+@atexit.register
+def end_processes():
+    """Ends what a case has started and not ended itself."""
+    for process in _processes:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+
+
 class Gateway:
     def __init__(self, cluster, number):
         self.cluster, self.number, self.name = cluster, number, f"g{number}"
@@ -384,6 +397,7 @@
         self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=log, stderr=log,
                                         stdin=subprocess.DEVNULL)
         log.close()
+        _processes.append(self.process)
         self.cluster.record.note("gateway", self.name, "started")
 
     def signal(self, number):
@@ -528,6 +542,7 @@
 def run_case(case, folder):
     """Runs a case: `case(record, trouble)` returns whether the rule held. Exits with 0, 1 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(os.path.join(folder, "record.txt"))
     record.note("trouble", int(trouble))
     try:
