--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -238,43 +238,81 @@
 # --- Links --------------------------------------------------------------------------------------------------------
 
 class Uplink:
-    """The way from one gateway to one server. While it is down, open connections are reset and new ones refused."""
+    """The way from one gateway to one server. While it is down it says nothing, as the protocol page has it: open
+    connections stay open and silent, and are reset once it is back; new ones never come up."""
 
     def __init__(self, target):
         self.target = target
         self.port = free_port()
-        self.server = None
-        self.writers = set()
+        self.listener = None
+        self.accepting = None
+        self.is_down = False
+        self.writers, self.tasks = set(), set()
+        self.fillers = []
 
     async def up(self):
-        if self.server is None:
-            self.server = await asyncio.start_server(self.connection, HOST, self.port)
-
-    def down(self):
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        if self.listener is None:
+            self.listener = socket.socket()
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.listener.bind((HOST, self.port))
+            self.listener.setblocking(False)
+        elif not self.is_down:
+            return
         for writer in list(self.writers):
             writer.transport.abort()
+        for task in list(self.tasks):
+            task.cancel()
+        for filler in self.fillers:
+            filler.close()
+        self.fillers, self.is_down = [], False
+        self.listener.listen(128)
+        self.accepting = asyncio.create_task(self.accept())
 
-    async def connection(self, reader, writer):
-        self.writers.add(writer)
-        far = None
+    def down(self):
+        """Nobody accepts any more, and the listener's short queue is filled, so that new connections hang."""
+        self.is_down = True
+        self.accepting.cancel()
+        self.listener.listen(0)
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((HOST, self.port))
+            self.fillers.append(filler)
+
+    async def accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            near, _ = await loop.sock_accept(self.listener)
+            near.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            task = asyncio.create_task(self.connection(near))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def connection(self, near):
+        ends = []
         try:
+            reader, writer = await asyncio.open_connection(sock=near)
+            ends.append(writer)
             far_reader, far = await asyncio.open_connection(HOST, self.target)
-            self.writers.add(far)
+            ends.append(far)
+            self.writers.update(ends)
             await asyncio.gather(self.copy(reader, far), self.copy(far_reader, writer))
         except (OSError, asyncio.CancelledError):
             pass
         finally:
-            for end in (writer, far):
-                if end is not None:
-                    self.writers.discard(end)
-                    end.close()
+            for end in ends:
+                self.writers.discard(end)
+                end.close()
 
     async def copy(self, reader, writer):
+        """Carries bytes, and the end. What comes while the way is down goes nowhere."""
         try:
-            while data := await reader.read(65536):
+            while True:
+                data = await reader.read(65536)
+                if self.is_down:
+                    await asyncio.Event().wait()
+                if not data:
+                    break
                 writer.write(data)
                 await writer.drain()
         except OSError:
@@ -523,7 +561,7 @@
             headers.append(("X-Again", "1"))
         self.record.note("client sent", call_id, key, f"g{gateway}")
         status, reply, _ = await call(self.gateways[gateway].listen, "POST", f"/api?customer={customer:016x}",
-                                      headers, b"x" * 100, left_ms / 1000 + 0.5)
+                                      headers, b"x" * 100, left_ms / 1000)
         self.record.note("client answered", call_id, key, status, reply.get("location", ""))
         return status, reply.get("location")
 
