Reproduce the slow uploads and the memory limit on real processes, failing

The tests play one gateway process with backends that read nothing, stop reading, read 90 kB/s or reset half way, and crowds of 900 slow clients at 32 MB and 1,024 descriptors.

--- a/tests/sockets/world/gateway.rs
+++ b/tests/sockets/world/gateway.rs
@@ -86,6 +86,20 @@
         gateway.wait_ready();
         gateway
     }
+    /// Starts a gateway with these limits, and waits until it is ready.
+    pub fn start_with_limits(
+        discovery: &Discovery,
+        counter: &Stub,
+        memory_mb: usize,
+        sockets: usize,
+    ) -> Gateway {
+        let limits = format!("\"memory_mb\":{memory_mb},\"sockets\":{sockets}");
+        let config = config(discovery.stub.address, counter.address);
+        let gateway =
+            Gateway::spawn(gateway_command(&config.replace("\"memory_mb\":192,\"sockets\":1024", &limits)));
+        gateway.wait_ready();
+        gateway
+    }
     pub fn wait_ready(&self) {
         let deadline = Instant::now() + WAIT_TIMEOUT;
         while self.client().round_trip("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").status() != 200 {
@@ -121,6 +135,13 @@
             thread::sleep(Duration::from_millis(5));
         }
     }
+    /// Returns the largest resident memory of the process so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let kib = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        kib.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024
+    }
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
         assert!(sent.expect("kill runs").success());
--- a/tests/sockets/world/mod.rs
+++ b/tests/sockets/world/mod.rs
@@ -3,11 +3,13 @@
 #![allow(dead_code, unused_imports)]
 
 mod client;
+mod crowd;
 mod discovery;
 mod gateway;
 mod stub;
 
 pub use client::{client_over, connect, request, Client};
+pub use crowd::{long_response_backend, with_new_customer, Crowd, SlowClient};
 pub use discovery::{backend_entry, endpoint_list, Discovery, WatchRequest};
 pub use gateway::{config, config_path, gateway_command, Gateway};
 pub use stub::{counter_stub, http, FullBacklogListener, Gate, Log, Message, Refusing, Reply, Stub};
