Answer an upload in its time where its backend holds up the body

Cause: the budget of a streamed request counted from the last byte read, and until then the deadline was that of the slowest client for the longest body, 650 s, whoever was waited for. A backend that does not read stops the reading of the client, so that the last byte lies in the system's buffer. The same long deadline was kept by the attempt, by the decision module's timer, and by any wait before the attempt.

Change: UploadClock (no I/O) counts from the latest time at which the client is known not to have handed over the last byte: it was being waited for with its input drained, or 3 MiB less were read, more than the buffers hold. The network records when input is drained and when bytes arrive, also while nothing reads them. The attempt, the runtime and the module get the deadline as it moves, each with a lease of 0.5 s instead of 650 s. The receive buffer of a client connection is bounded, 128 KiB, so that the 3 MiB hold. The rest of a body is discarded for 3 s after its answer, also where its attempt ends after it.

--- a/src/decision/event.rs
+++ b/src/decision/event.rs
@@ -38,11 +38,18 @@
         /// Time since the attempt was sent.
         elapsed: Micros,
     },
+    /// The deadline of a request with a streamed body has changed, because its body made progress or is held up.
+    DeadlineChanged {
+        /// Request whose deadline has changed.
+        request: RequestId,
+        /// Deadline unless it changes again.
+        deadline: Micros,
+    },
     /// The last byte of a streamed request body has arrived.
     RequestBodyEnded {
         /// Request whose body has ended.
         request: RequestId,
-        /// Final deadline; until now only an upper bound was known.
+        /// Final deadline.
         deadline: Micros,
     },
     /// The client closed the connection or gave up.
@@ -98,7 +105,7 @@
     /// Whether the client marked this as a retry of a request that was rejected, failed or abandoned.
     pub is_retry: bool,
     /// Whether the request body is still arriving and is not buffered. Such a request can be sent only once, and
-    /// its deadline is an upper bound until the body has ended.
+    /// its deadline moves on until the body has ended.
     pub streaming_body: bool,
     /// Attempts by gateways that handled the request before and have failed. These attempts may have run.
     pub prior_attempts: Vec<PriorAttempt>,
--- a/src/decision/gateway.rs
+++ b/src/decision/gateway.rs
@@ -3,6 +3,7 @@
 mod arrival;
 mod attempts;
 mod counter;
+mod deadline;
 mod endpoints;
 mod finish;
 mod handover;
@@ -10,7 +11,7 @@
 mod request_queue;
 mod timers;
 
-use super::action::{Action, RejectionReason};
+use super::action::Action;
 use super::admission::{CounterCalls, Customer, LeaseView, LoadShedding, CUSTOMER_IDLE_TIMEOUT};
 use super::context::{Context, ProcessRole};
 use super::endpoint::EndpointCounts;
@@ -89,6 +90,7 @@
             Event::ResponseStarted { request, attempt, elapsed } => {
                 self.on_response_started(request, attempt, elapsed);
             }
+            Event::DeadlineChanged { request, deadline } => self.on_deadline_changed(request, deadline),
             Event::RequestBodyEnded { request, deadline } => self.on_body_ended(request, deadline),
             Event::ClientDisconnected { request } => self.finish(request, None),
             Event::CounterReplied { key, outcome, total } => self.on_counter_replied(key, outcome, total),
@@ -140,13 +142,4 @@
             self.actions.push(Action::Subscribe);
         }
     }
-
-    /// Rejects a request that has no answer by its deadline.
-    fn on_deadline(&mut self, id: RequestId) {
-        let is_unanswered =
-            self.requests.get(&id).is_some_and(|request| !request.finished && !request.streaming);
-        if is_unanswered {
-            self.reject(id, RejectionReason::DeadlineExceeded);
-        }
-    }
 }
--- a/src/decision/gateway/arrival.rs
+++ b/src/decision/gateway/arrival.rs
@@ -1,13 +1,11 @@
 //! Arrival of a request: registers it, then sheds it or passes it to the quota checks.
 
-use super::timers::Timer;
 use super::Gateway;
 use crate::decision::action::{Action, RejectionReason};
 use crate::decision::event::Arrival;
 use crate::decision::ids::{CustomerId, RequestId};
 use crate::decision::request::{Attempt, Request};
 use crate::decision::routing;
-use crate::decision::time::Micros;
 
 impl Gateway {
     pub(super) fn on_request(&mut self, arrival: Arrival) {
@@ -32,12 +30,6 @@
         }
     }
 
-    /// Sets the timer to two ticks before the deadline: it may fire one tick late, and the answer takes another.
-    pub(super) fn set_deadline_timer(&mut self, id: RequestId, deadline: Micros) {
-        let tick = self.context.settings.tick;
-        self.set_timer(Timer::Deadline(id), deadline - self.context.now - tick - tick);
-    }
-
     fn insert_request(&mut self, mut arrival: Arrival) {
         let (id, now, customer_id) = (arrival.id, self.context.now, arrival.customer);
         let customer = self.customers.entry(customer_id).or_default();
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -9,6 +9,7 @@
 //! - `load_balancing`: subsetting, selection, concurrency limits, slow start, outlier ejection.
 //! - `retry`: the retry budget, which requests may be sent again, and attempt time-outs.
 //! - `routing`: routing rules that operators roll out.
+//! - `upload_clock`: the deadline of a request whose body is still arriving.
 //! - `handover_state`: the serialized state that one process hands to its successor.
 
 mod action;
@@ -30,6 +31,7 @@
 mod settings;
 mod time;
 mod token_bucket;
+mod upload_clock;
 
 pub use action::{Action, RejectionReason};
 pub use endpoint::{EndpointCounts, EndpointStatus, EndpointUpdate, LoadReport, WatchScope};
@@ -44,3 +46,4 @@
 pub use routing_rules::{RouteRule, RoutingRules};
 pub use settings::{Class, DeduplicationScope, Idempotency, Plan, Settings, SettingsError};
 pub use time::Micros;
+pub use upload_clock::{InputProgress, UploadClock};
--- /dev/null
+++ b/src/proxy/downstream/client_input.rs
@@ -0,0 +1,70 @@
+//! What is known of a client's input that the gateway has not read.
+
+use crate::decision::InputProgress;
+use crate::proxy::runtime::clock::Clock;
+use std::cell::Cell;
+use tokio::time::Instant;
+
+/// Input of one connection, updated by its socket and by the reader of the present request's body.
+#[derive(Debug)]
+pub struct ClientInput {
+    received_bytes: Cell<u64>,
+    /// Whether the last read found nothing, and nothing has arrived since.
+    is_drained: Cell<bool>,
+    /// Whether a head is expected, or the reader of a body waits for more. Otherwise hyper may hold bytes that were
+    /// read.
+    is_wanted: Cell<bool>,
+    /// When the gateway last waited for the client, with everything read that had arrived.
+    drained_at: Cell<Instant>,
+}
+
+impl ClientInput {
+    /// Returns the input of a connection from which nothing was read, and on which bytes may have arrived already.
+    pub fn new(accepted_at: Instant) -> ClientInput {
+        ClientInput {
+            received_bytes: Cell::new(0),
+            is_drained: Cell::new(false),
+            is_wanted: Cell::new(true),
+            drained_at: Cell::new(accepted_at),
+        }
+    }
+
+    fn is_waited_for(&self) -> bool {
+        self.is_drained.get() && self.is_wanted.get()
+    }
+
+    /// Called when a read found nothing.
+    pub fn drained(&self) {
+        self.is_drained.set(true);
+    }
+
+    /// Called when bytes have arrived, whether or not they are read now.
+    pub fn arrived(&self) {
+        self.end_wait();
+        self.is_drained.set(false);
+    }
+
+    /// Called when bytes were read.
+    pub fn received(&self, bytes: usize) {
+        self.arrived();
+        self.received_bytes.set(self.received_bytes.get() + bytes as u64);
+    }
+
+    /// Sets whether a head is expected, or the reader of a body waits for more.
+    pub fn set_wanted(&self, wanted: bool) {
+        self.end_wait();
+        self.is_wanted.set(wanted);
+    }
+
+    fn end_wait(&self) {
+        if self.is_waited_for() {
+            self.drained_at.set(Instant::now());
+        }
+    }
+
+    /// Returns the progress while the body of a request is read.
+    pub fn progress(&self, clock: Clock) -> InputProgress {
+        let drained_at = if self.is_waited_for() { Instant::now() } else { self.drained_at.get() };
+        InputProgress { received_bytes: self.received_bytes.get(), drained_at: clock.time_at(drained_at) }
+    }
+}
--- a/src/proxy/downstream/close.rs
+++ b/src/proxy/downstream/close.rs
@@ -5,6 +5,7 @@
 //! is not yet delivered is lost. The gateway therefore first shuts down its sending side only, reads and discards input
 //! for a bounded time, and then closes the socket (a lingering close). Bytes read here are never forwarded.
 
+use super::client_input::ClientInput;
 use rustix::net::{shutdown, Shutdown};
 use std::io::ErrorKind;
 use std::time::Duration;
@@ -21,11 +22,15 @@
 /// Interval between checks of a connection with unread bytes, which hyper does not read while a request is open.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Returns once the client has closed its side, even if bytes that it sent before are still unread.
-pub async fn closed_by_client(stream: &TcpStream) {
+/// Returns once the client has closed its side, even if bytes that it sent before are still unread. Records in `input`
+/// that bytes have arrived.
+pub async fn closed_by_client(stream: &TcpStream, input: &ClientInput) {
     loop {
         match stream.ready(Interest::READABLE).await {
-            Ok(ready) if !ready.is_read_closed() => sleep(POLL_INTERVAL).await,
+            Ok(ready) if !ready.is_read_closed() => {
+                input.arrived();
+                sleep(POLL_INTERVAL).await;
+            }
             _ => return,
         }
     }
--- a/src/proxy/downstream/connection.rs
+++ b/src/proxy/downstream/connection.rs
@@ -52,7 +52,7 @@
             }
         },
         () = connection.close_requested() => ConnectionCloseReason::Idle,
-        () = closed_by_client(&stream) => ConnectionCloseReason::ClosedByClient,
+        () = closed_by_client(&stream, connection.input()) => ConnectionCloseReason::ClosedByClient,
     };
     debug!(?reason, client = ?stream.peer_addr().ok(), "client connection closed");
     context.metrics.connection_closes.increment(reason);
@@ -73,7 +73,7 @@
     let mut response = match request.uri().path() {
         "/_health" => health(context),
         path if path.starts_with(WRITES_PATH) => write_status(context, request.method(), path),
-        "/api" => handle(request, open_request.body_wait(), context).await.unwrap_or_else(error_response),
+        "/api" => handle(request, &open_request, context).await.unwrap_or_else(error_response),
         _ => plain_text(StatusCode::NOT_FOUND, "no such path\n"),
     };
     response.body_mut().keep_open(open_request);
--- a/src/proxy/downstream/idle_connections.rs
+++ b/src/proxy/downstream/idle_connections.rs
@@ -1,21 +1,16 @@
 //! Client connections without an open request: how long each may stay open, and which is closed first when permits are
 //! scarce.
 
+use super::client_input::ClientInput;
+use super::client_socket::ClientSocket;
 use crate::proxy::lifecycle::drain::Lifecycle;
-use crate::proxy::tcp_io;
-use rustix::net::{shutdown, Shutdown};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::future::Future;
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep, Instant, Sleep};
+use tokio::time::Instant;
 
 /// Time-out for a complete request head, from its first byte, or from the accept on a new connection. Clients may take
 /// 2 s; a connection that sends only part of a request must be closed within 3 s of connecting.
@@ -23,8 +18,6 @@
 /// A body that does not arrive with its head may keep the gateway waiting for the rest of `HEAD_TIMEOUT`, and at least
 /// for this time, because a client may take 2 s to write a request, wherever the head ends in that time.
 const MIN_BODY_WAIT: Duration = Duration::from_millis(500);
-/// A client that reads nothing of its response for this long is considered gone.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval between checks for connections whose time-out has expired.
 pub const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// When permits are scarce, new connections that have sent nothing for at least this long are closed first.
@@ -63,6 +56,7 @@
     /// Whether the connection is to be closed, unless bytes arrive first.
     should_close: Cell<bool>,
     close_notify: Notify,
+    input: Rc<ClientInput>,
 }
 
 impl ClientConnection {
@@ -73,6 +67,14 @@
             self.close_notify.notified().await;
         }
     }
+    /// What is known of the input that was not read.
+    pub fn input(&self) -> &Rc<ClientInput> {
+        &self.input
+    }
+    /// Sets whether part of a response is not written yet.
+    pub fn set_has_unwritten_bytes(&self, unwritten: bool) {
+        self.has_unwritten_bytes.set(unwritten);
+    }
     fn request_close(&self) {
         self.should_close.set(true);
         self.close_notify.notify_one();
@@ -112,14 +114,10 @@
             has_unwritten_bytes: Cell::new(false),
             should_close: Cell::new(false),
             close_notify: Notify::new(),
+            input: Rc::new(ClientInput::new(now)),
         });
         self.new_connections.borrow_mut().insert(connection.key(), connection.clone());
-        let socket = ClientSocket {
-            stream,
-            connection: connection.clone(),
-            registry: self.clone(),
-            write_stall_timer: None,
-        };
+        let socket = ClientSocket::new(stream, connection.clone(), self.clone());
         (connection, socket)
     }
 
@@ -148,7 +146,7 @@
     }
 
     /// Called when bytes arrived on a connection.
-    fn received(&self, connection: &Rc<ClientConnection>) {
+    pub fn received(&self, connection: &Rc<ClientConnection>) {
         match connection.phase.get() {
             Phase::RequestOpen | Phase::Closed => {}
             Phase::Idle => {
@@ -159,12 +157,18 @@
         }
     }
 
+    /// Called when the socket is closed.
+    pub fn closed(&self, connection: &Rc<ClientConnection>) {
+        self.set_phase(connection, Phase::Closed);
+    }
+
     /// Called when the head of a request is complete. The request is open until the guard is dropped.
     pub fn open_request(self: &Rc<IdleConnections>, connection: &Rc<ClientConnection>) -> OpenRequestGuard {
         if connection.phase.get() == Phase::Idle {
             // The head arrived together with the previous request and was already in hyper's buffer.
             connection.head_deadline.set(Instant::now() + HEAD_TIMEOUT);
         }
+        connection.input.set_wanted(false);
         self.set_phase(connection, Phase::RequestOpen);
         OpenRequestGuard { registry: self.clone(), connection: connection.clone() }
     }
@@ -216,6 +220,11 @@
 }
 
 impl OpenRequestGuard {
+    /// What is known of the input of the request's connection.
+    pub fn input(&self) -> Rc<ClientInput> {
+        self.connection.input().clone()
+    }
+
     /// Returns how long the gateway waits for the request's body, in addition to the time that its length allows.
     pub fn body_wait(&self) -> Duration {
         let remaining = self.connection.head_deadline.get().saturating_duration_since(Instant::now());
@@ -225,73 +234,7 @@
 
 impl Drop for OpenRequestGuard {
     fn drop(&mut self) {
+        self.connection.input.set_wanted(true);
         self.registry.set_phase(&self.connection, Phase::Idle);
     }
 }
-
-/// Socket of a client that records reads and writes for its connection.
-pub struct ClientSocket {
-    stream: Rc<TcpStream>,
-    connection: Rc<ClientConnection>,
-    registry: Rc<IdleConnections>,
-    /// Runs while a write waits because the client reads nothing.
-    write_stall_timer: Option<Pin<Box<Sleep>>>,
-}
-
-impl ClientSocket {
-    fn after_write(&mut self, result: Poll<io::Result<usize>>, cx: &mut Context) -> Poll<io::Result<usize>> {
-        self.connection.has_unwritten_bytes.set(true);
-        if result.is_ready() {
-            self.write_stall_timer = None;
-            return result;
-        }
-        let write_stall_timer =
-            self.write_stall_timer.get_or_insert_with(|| Box::pin(sleep(WRITE_STALL_TIMEOUT)));
-        match write_stall_timer.as_mut().poll(cx) {
-            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
-            Poll::Pending => Poll::Pending,
-        }
-    }
-}
-
-impl Drop for ClientSocket {
-    fn drop(&mut self) {
-        self.registry.set_phase(&self.connection, Phase::Closed);
-    }
-}
-
-impl AsyncRead for ClientSocket {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        let done = ready!(tcp_io::poll_read(&self.stream, cx, buf));
-        if matches!(done, Ok(length) if length > 0) {
-            self.registry.received(&self.connection);
-        }
-        Poll::Ready(done.map(drop))
-    }
-}
-
-impl AsyncWrite for ClientSocket {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = tcp_io::poll_write(&self.stream, cx, buf);
-        self.after_write(done, cx)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context,
-        bufs: &[io::IoSlice],
-    ) -> Poll<io::Result<usize>> {
-        let done = tcp_io::poll_write_vectored(&self.stream, cx, bufs);
-        self.after_write(done, cx)
-    }
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-    /// hyper flushes once its write buffer is empty.
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        self.connection.has_unwritten_bytes.set(false);
-        Poll::Ready(Ok(()))
-    }
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        Poll::Ready(shutdown(&*self.stream, Shutdown::Write).map_err(io::Error::from))
-    }
-}
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -5,7 +5,9 @@
 //! returns the response ([`client_response`]).
 
 pub(crate) mod accept;
+pub(crate) mod client_input;
 pub(crate) mod client_response;
+pub(crate) mod client_socket;
 pub(crate) mod close;
 pub(crate) mod connection;
 pub(crate) mod context;
@@ -17,3 +19,4 @@
 pub(crate) mod request_head;
 pub(crate) mod response_body;
 pub mod server;
+pub(crate) mod streamed_request;
--- a/src/proxy/downstream/request.rs
+++ b/src/proxy/downstream/request.rs
@@ -1,15 +1,17 @@
 //! Handles one client request from its head to its response. The write queue of a branch that is cut off may accept a
 //! write; a request with an idempotency key goes through the ledger if there is one; any other is dispatched at once.
 
+use super::client_input::ClientInput;
 use super::client_response::{final_response, plain_text, ClientResponseBody};
 use super::context::ProxyContext;
-use super::dispatch::{dispatch_with_id, DisconnectGuard};
+use super::dispatch::dispatch_with_id;
+use super::idle_connections::OpenRequestGuard;
 use super::request_body::{
-    max_transfer_time, BodyError, RequestBodyReader, RequestBodyResult, StreamedRequestBody,
-    MAX_REQUEST_BODY_BYTES,
+    BodyError, RequestBodyReader, RequestBodyResult, StreamedRequestBody, MAX_REQUEST_BODY_BYTES,
 };
 use super::request_error::RequestError;
 use super::request_head::RequestHead;
+use super::streamed_request::StreamedRequest;
 use crate::cluster::write_queue::Dot;
 use crate::decision::{Arrival, Micros, RequestId};
 use crate::proxy::admin::metrics::{InFlightRequest, RequestResult};
@@ -17,9 +19,8 @@
 use crate::proxy::cluster_transport::serialized_request::serialize;
 use crate::proxy::cluster_transport::write_queue_sender::accept_write;
 use crate::proxy::cluster_transport::ClusterTransport;
-use crate::proxy::lifecycle::drain::ShutdownPhase;
 use crate::proxy::memory_budget::MemoryBudget;
-use crate::proxy::runtime::messages::{FinalResponse, NewRequest, RuntimeEvent};
+use crate::proxy::runtime::messages::FinalResponse;
 use crate::proxy::upstream::connection::MAX_BUFFERED_BODY_BYTES;
 use crate::proxy::upstream::forwarded_request::{strip_hop_by_hop, ForwardedRequest, RequestPayload};
 use bytes::Bytes;
@@ -28,7 +29,6 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
 /// Path prefix under which clients query the status of writes that a branch accepted.
@@ -64,10 +64,10 @@
 /// is no memory.
 async fn receive_body(
     body: Incoming,
-    wait: Duration,
+    open_request: &OpenRequestGuard,
     memory: &MemoryBudget,
 ) -> Result<BodyWithMemory, RequestError> {
-    let mut reader = RequestBodyReader::new(body, wait);
+    let mut reader = RequestBodyReader::new(body, open_request.body_wait(), open_request.input());
     let length = reader.declared_length();
     if length.is_some_and(|length| length > MAX_REQUEST_BODY_BYTES) {
         return Err(BodyError::TooLong.into());
@@ -85,20 +85,19 @@
     Ok(BodyWithMemory::streamed(collected.bytes, reader, memory))
 }
 
-/// Handles a request and returns its response. The client may keep the gateway waiting for the end of the body for
-/// `body_wait`, in addition to the time that the length of the body allows.
+/// Handles a request and returns its response.
 ///
 /// # Errors
 ///
 /// Returns why the request is invalid, or why its body was not received.
 pub async fn handle(
     request: Request<Incoming>,
-    body_wait: Duration,
+    open_request: &OpenRequestGuard,
     context: &ProxyContext,
 ) -> Result<Response<ClientResponseBody>, RequestError> {
     let (parts, incoming) = request.into_parts();
     let head = RequestHead::read(&parts.method, parts.uri.query(), &parts.headers, &context.rules)?;
-    let received = receive_body(incoming, body_wait, &context.memory).await?;
+    let received = receive_body(incoming, open_request, &context.memory).await?;
     // Keeps the memory reserved until the response is available.
     let _memory = received.memory;
     let id = context.request_ids.next();
@@ -112,7 +111,7 @@
     let request = ClientRequest { context, id, head, method: parts.method, uri, headers, deadline };
     match received.body {
         ReceivedBody::Buffered(body) => request.handle_buffered(body).await,
-        ReceivedBody::Streamed(body, end) => request.handle_streamed(body, end, body_wait).await,
+        ReceivedBody::Streamed(body, end) => request.handle_streamed(body, end, open_request.input()).await,
     }
 }
 
@@ -186,110 +185,23 @@
         self,
         body: Box<StreamedRequestBody>,
         body_end: oneshot::Receiver<RequestBodyResult>,
-        body_wait: Duration,
+        input: Rc<ClientInput>,
     ) -> Result<Response<ClientResponseBody>, RequestError> {
         if self.method == Method::GET {
             return Err(RequestError::BodyOnGet);
         }
-        let ClientRequest { context, id, head, method, uri, headers, deadline } = self;
+        let ClientRequest { context, id, head, method, uri, headers, .. } = self;
         let class = head.arrival.class;
-        // Until the last byte arrives, the deadline allows for the slowest client.
-        let max_body_time = max_transfer_time(body_wait, MAX_REQUEST_BODY_BYTES);
-        let deadline = deadline + Micros(max_body_time.as_micros() as u64);
-        let payload = RequestPayload::Streamed(RefCell::new(Some(body)));
+        let (streamed, deadline) = StreamedRequest::new(context, id, head.budget, input, body_end);
+        let payload = RequestPayload::Streamed { body: RefCell::new(Some(body)), deadline };
         let forward = ForwardedRequest::new(method, uri, headers, payload);
-        let arrival = Arrival { id, deadline, streaming_body: true, ..head.arrival };
-        let streamed = StreamedRequest { context, id, budget: head.budget, body_end: Some(body_end) };
+        let arrival = Arrival { id, streaming_body: true, ..head.arrival };
         let (response, in_flight) = streamed.dispatch(arrival, forward).await?;
         let in_flight = in_flight.unwrap_or_else(|| context.metrics.request_received(class));
         Ok(final_response(response, in_flight))
     }
 }
 
-/// A request whose body is passed on as it arrives.
-struct StreamedRequest<'a> {
-    context: &'a ProxyContext,
-    id: RequestId,
-    budget: Micros,
-    /// Receiver of the result of the body. `None` once the result is known.
-    body_end: Option<oneshot::Receiver<RequestBodyResult>>,
-}
-
-impl StreamedRequest<'_> {
-    /// Sends the request to the runtime and returns its final response. The request counts as in flight from its last
-    /// byte.
-    async fn dispatch(
-        mut self,
-        arrival: Arrival,
-        forward: ForwardedRequest,
-    ) -> Result<(FinalResponse, Option<InFlightRequest>), RequestError> {
-        let context = self.context;
-        let class = arrival.class;
-        let mut in_flight = None;
-        let (reply, mut response) = oneshot::channel();
-        let request = NewRequest { arrival, forward, reply };
-        let mut guard = DisconnectGuard::new(&context.runtime, self.id);
-        let mut lifecycle = context.lifecycle.subscribe();
-        // If the runtime has ended, `reply` is dropped with the request, and waiting for the response fails.
-        let _ = context.runtime.send(RuntimeEvent::RequestReceived(Box::new(request))).await;
-        let response = loop {
-            tokio::select! {
-                biased;
-                response = &mut response => {
-                    guard.set_answered();
-                    break response.unwrap_or(FinalResponse::Failed);
-                }
-                result = wait_for_body_end(&mut self.body_end) => {
-                    self.body_end = None;
-                    if is_complete(result)? {
-                        in_flight = Some(context.metrics.request_received(class));
-                        self.notify_body_end().await;
-                    }
-                }
-                // The guard then reports to the runtime that the client disconnected.
-                _ = lifecycle.wait_for(|state| state.shutdown == ShutdownPhase::Final) => {
-                    break FinalResponse::Failed;
-                }
-            }
-        };
-        // A client that is answered early may send the rest of its body before it reads the response.
-        if let Some(Ok(RequestBodyResult::Unread(rest))) = self.body_end.as_mut().map(|end| end.try_recv()) {
-            tokio::task::spawn_local(rest.discard());
-        }
-        Ok((response, in_flight))
-    }
-
-    async fn notify_body_end(&self) {
-        let deadline = self.context.clock.now() + self.budget;
-        let event = RuntimeEvent::RequestBodyEnded { request: self.id, deadline };
-        // If the runtime has ended, the process is exiting.
-        let _ = self.context.runtime.send(event).await;
-    }
-}
-
-/// Waits for the result of a body. Never returns if the result was already received.
-async fn wait_for_body_end(
-    end: &mut Option<oneshot::Receiver<RequestBodyResult>>,
-) -> Result<RequestBodyResult, oneshot::error::RecvError> {
-    match end {
-        Some(end) => end.await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Returns whether a body was received completely. If nothing reads the rest any more, a task reads and discards it.
-fn is_complete(result: Result<RequestBodyResult, oneshot::error::RecvError>) -> Result<bool, RequestError> {
-    match result {
-        Ok(RequestBodyResult::Complete) => Ok(true),
-        Ok(RequestBodyResult::Broken(error)) => Err(error.into()),
-        Ok(RequestBodyResult::Unread(rest)) => {
-            tokio::task::spawn_local(rest.discard());
-            Ok(false)
-        }
-        Err(_) => Ok(false),
-    }
-}
-
 /// Returns the response to a write that the write queue of a branch accepted.
 fn accepted_response(write: Dot, mut in_flight: InFlightRequest) -> Response<ClientResponseBody> {
     let mut response = plain_text(StatusCode::ACCEPTED, "accepted\n");
--- a/src/proxy/downstream/request_body.rs
+++ b/src/proxy/downstream/request_body.rs
@@ -1,6 +1,7 @@
 //! Bodies of client requests: buffered if they are short, otherwise streamed to the backend. A body that arrives below
 //! the minimum rate is an error. [`OutboundBody`] is the body of an outbound call, which may be such a stream.
 
+use super::client_input::ClientInput;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -35,7 +36,7 @@
 
 /// Returns the longest time that a client may take to send `bytes` bytes, with `extra_wait` on top of the time for the
 /// bytes.
-pub fn max_transfer_time(extra_wait: Duration, bytes: usize) -> Duration {
+fn max_transfer_time(extra_wait: Duration, bytes: usize) -> Duration {
     extra_wait + Duration::from_nanos(bytes as u64 * NANOS_PER_BYTE)
 }
 
@@ -49,13 +50,22 @@
     time_waited: Duration,
     waiting_since: Option<Instant>,
     timer: Pin<Box<Sleep>>,
+    input: Rc<ClientInput>,
 }
 
 impl RequestBodyReader {
     /// Returns a reader that has read nothing yet.
-    pub fn new(body: Incoming, extra_wait: Duration) -> RequestBodyReader {
+    pub fn new(body: Incoming, extra_wait: Duration, input: Rc<ClientInput>) -> RequestBodyReader {
         let (time_waited, timer) = (Duration::ZERO, Box::pin(sleep(Duration::ZERO)));
-        RequestBodyReader { body, received_bytes: 0, extra_wait, time_waited, waiting_since: None, timer }
+        RequestBodyReader {
+            body,
+            received_bytes: 0,
+            extra_wait,
+            time_waited,
+            waiting_since: None,
+            timer,
+            input,
+        }
     }
 
     /// Returns the length in bytes, if the client declared it.
@@ -66,11 +76,13 @@
     /// Polls for the next chunk that is not empty. Only time spent waiting for the client counts towards the time-out.
     fn poll_chunk(&mut self, cx: &mut Context) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
-            let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
+            let frame = Pin::new(&mut self.body).poll_frame(cx);
+            self.input.set_wanted(frame.is_pending());
+            let Poll::Ready(frame) = frame else {
                 let since = *self.waiting_since.get_or_insert_with(Instant::now);
-                let due = since
-                    + max_transfer_time(self.extra_wait, self.received_bytes)
-                        .saturating_sub(self.time_waited);
+                let max_wait =
+                    max_transfer_time(self.extra_wait, self.received_bytes).saturating_sub(self.time_waited);
+                let due = since + max_wait;
                 if self.timer.deadline() != due {
                     self.timer.as_mut().reset(due);
                 }
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -6,6 +6,7 @@
 use super::idle_connections::{IdleConnections, SWEEP_INTERVAL};
 use crate::proxy::lifecycle::drain::ShutdownPhase;
 use crate::proxy::runtime::clock::duration;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +28,16 @@
 /// truncate them, so only SIGKILL or this limit ends them.
 const MAX_STREAMING_AFTER_SIGTERM: Duration = Duration::from_secs(60);
 
+/// Receive buffer of a client connection, in bytes; the system doubles it for its own accounting.
+const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
+
+/// Bounds what the connections of a listener may send ahead of what is read.
+pub fn limit_receive_buffer(listener: &TcpListener) {
+    if let Err(error) = set_socket_recv_buffer_size(listener, RECEIVE_BUFFER_BYTES) {
+        warn!(%error, "setting the receive buffer of client connections failed; the system's own size applies");
+    }
+}
+
 /// Start of the shutdown, and the times that depend on it.
 struct Shutdown {
     context: Rc<ProxyContext>,
--- a/src/proxy/runtime.rs
+++ b/src/proxy/runtime.rs
@@ -242,6 +242,9 @@
     fn handle_event(&mut self, event: RuntimeEvent) {
         match event {
             RuntimeEvent::RequestReceived(request) => self.request_received(*request),
+            RuntimeEvent::DeadlineChanged { request, deadline } => {
+                self.pending_events.push(Event::DeadlineChanged { request, deadline });
+            }
             RuntimeEvent::RequestBodyEnded { request, deadline } => {
                 self.pending_events.push(Event::RequestBodyEnded { request, deadline });
             }
--- a/src/proxy/runtime/clock.rs
+++ b/src/proxy/runtime/clock.rs
@@ -37,7 +37,7 @@
     }
 
     /// Converts a time on this clock to an instant.
-    pub(super) fn instant_at(&self, time: Micros) -> Instant {
+    pub(in crate::proxy) fn instant_at(&self, time: Micros) -> Instant {
         self.start + duration(time - self.unix_at_start)
     }
 }
--- a/src/proxy/runtime/messages.rs
+++ b/src/proxy/runtime/messages.rs
@@ -90,11 +90,18 @@
 pub enum RuntimeEvent {
     /// A request was received.
     RequestReceived(Box<NewRequest>),
+    /// The deadline of a request whose body is still arriving has changed.
+    DeadlineChanged {
+        /// The request.
+        request: RequestId,
+        /// Deadline unless it changes again.
+        deadline: Micros,
+    },
     /// The last byte of a request body was received.
     RequestBodyEnded {
         /// The request.
         request: RequestId,
-        /// Deadline of the request, counted from that byte.
+        /// Final deadline of the request.
         deadline: Micros,
     },
     /// The client of a request closed its connection.
--- a/src/proxy/startup.rs
+++ b/src/proxy/startup.rs
@@ -251,7 +251,9 @@
             Some(descriptor) => inherited_listener::adopt(descriptor).and_then(TcpListener::from_std),
             None => TcpListener::bind(self.listen).await,
         };
-        listener.map_err(cannot_listen(self.listen))
+        let listener = listener.map_err(cannot_listen(self.listen))?;
+        server::limit_receive_buffer(&listener);
+        Ok(listener)
     }
 
     /// Joins the cluster.
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -14,7 +14,7 @@
 use std::io;
 use std::rc::Rc;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{timeout, Instant};
 
 /// Connection that an attempt is sent over.
 struct AttemptConnection {
@@ -68,7 +68,7 @@
             biased;
             _ = cancelled => Outcome::Cancelled.into(),
             result = attempt.exchange(permit) => result,
-            () = sleep_until(give_up_at) => match attempt.write_started.get() {
+            () = request.attempt_timed_out(give_up_at) => match attempt.write_started.get() {
                 true => Outcome::Timeout.into(),
                 false => Outcome::ConnectFailed.into(),
             },
@@ -127,7 +127,7 @@
         // A body that can be sent only once goes over a new connection, which cannot have been closed while idle.
         let idle_connection = match self.request.body {
             RequestPayload::Buffered(_) => self.pool.take_idle(self.backend.address),
-            RequestPayload::Streamed(_) => None,
+            RequestPayload::Streamed { .. } => None,
         };
         if let Some(connection) = idle_connection {
             return Ok(AttemptConnection { connection, reused: true });
@@ -157,7 +157,8 @@
             return Some(NotSentReason::NotOwner);
         }
         // Guards against starting to write at the moment at which the time-out expires.
-        (Instant::now() >= self.give_up_at).then_some(NotSentReason::AttemptTimedOut)
+        (Instant::now() >= self.request.attempt_deadline(self.give_up_at))
+            .then_some(NotSentReason::AttemptTimedOut)
     }
 }
 
--- a/src/proxy/upstream/forwarded_request.rs
+++ b/src/proxy/upstream/forwarded_request.rs
@@ -9,7 +9,8 @@
 use hyper::{Method, Request, Uri};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use tokio::time::Instant;
+use tokio::sync::watch;
+use tokio::time::{sleep_until, Instant};
 
 /// Header with the milliseconds that the client waits for a response or, in a request to a backend, the gateway waits.
 pub const BUDGET_MS: HeaderName = HeaderName::from_static("x-budget-ms");
@@ -53,7 +54,7 @@
     pub fn duplicate(&self) -> ForwardedRequest {
         let body = match &self.body {
             RequestPayload::Buffered(body) => body.clone(),
-            RequestPayload::Streamed(_) => Bytes::new(),
+            RequestPayload::Streamed { .. } => Bytes::new(),
         };
         let (method, uri, headers) = (self.method.clone(), self.uri.clone(), self.headers.clone());
         let forward = ForwardedRequest::new(method, uri, headers, RequestPayload::Buffered(body));
@@ -66,16 +67,45 @@
     /// Complete body, for any number of attempts.
     Buffered(Bytes),
     /// Body that is still arriving, for one attempt only.
-    Streamed(RefCell<Option<Box<StreamedRequestBody>>>),
+    Streamed {
+        /// The body, until an attempt takes it.
+        body: RefCell<Option<Box<StreamedRequestBody>>>,
+        /// Deadline of the request, which moves on while the body arrives.
+        deadline: watch::Receiver<Instant>,
+    },
 }
 
 impl ForwardedRequest {
+    /// Returns when an attempt is given up that the runtime gives up at `give_up_at`: a streamed body may move the time
+    /// on.
+    pub fn attempt_deadline(&self, give_up_at: Instant) -> Instant {
+        match &self.body {
+            RequestPayload::Buffered(_) => give_up_at,
+            RequestPayload::Streamed { deadline, .. } => *deadline.borrow(),
+        }
+    }
+
+    /// Waits until an attempt is given up.
+    pub async fn attempt_timed_out(&self, give_up_at: Instant) {
+        let RequestPayload::Streamed { deadline, .. } = &self.body else {
+            return sleep_until(give_up_at).await;
+        };
+        let mut deadline = deadline.clone();
+        loop {
+            let at = *deadline.borrow_and_update();
+            tokio::select! {
+                Ok(()) = deadline.changed() => {}
+                () = sleep_until(at) => return,
+            }
+        }
+    }
+
     /// Returns the request that an attempt which is given up at `give_up_at` sends to a backend, or `None` if the
     /// streamed body was already sent to another backend.
     pub fn to_request(&self, give_up_at: Instant) -> Option<Request<OutboundBody>> {
         let body = match &self.body {
             RequestPayload::Buffered(body) => OutboundBody::Buffered(Full::new(body.clone())),
-            RequestPayload::Streamed(streamed) => OutboundBody::Streamed(streamed.take()?),
+            RequestPayload::Streamed { body, .. } => OutboundBody::Streamed(body.take()?),
         };
         let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
--- a/tests/sockets/slow_uploads.rs
+++ b/tests/sockets/slow_uploads.rs
@@ -133,6 +133,7 @@
     for upload in uploads.collect::<Vec<_>>() {
         let (case, times) = upload.join().expect("the upload ends");
         println!("{behaviour:?}, {case:?}: {times:?}");
+        assert!(times.status.is_some_and(|status| status >= 400), "{behaviour:?}, {case:?}: {times:?}");
         let answered = times.answered_after.expect("an answer");
         // A client whose last byte the system has not taken by then was answered early.
         let handed_over = times.handed_over_after.unwrap_or(answered).min(answered);
@@ -196,3 +197,28 @@
     }
     assert_eq!(client.read_response().expect("an answer").status(), 200);
 }
+
+#[test]
+fn a_body_longer_than_all_buffers_is_served_while_it_moves() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("the socket is bound");
+    let length = 16_000_000;
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("an attempt");
+        // 10 MB a second: longer than the time budget in all.
+        let mut read = 0;
+        while read < length {
+            read += read_up_to(&mut stream, 500_000.min(length - read));
+            thread::sleep(Duration::from_millis(50));
+        }
+        read_up_to(&mut stream, 200);
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").expect("the gateway reads");
+        thread::sleep(Duration::from_secs(1));
+    });
+    let discovery = Discovery::start(&backend_entry("s-1", address, "ready"));
+    let counter = counter_stub();
+    let gateway = Gateway::start(&discovery, &counter);
+    let times = send_upload(gateway.address, upload(length, false));
+    assert_eq!(times.status, Some(200), "{times:?}");
+    assert!(times.answered_after.is_some_and(|after| after > BUDGET + ANSWER_SLACK), "{times:?}");
+}
