Give a client that stops in its body its error within 3 s

Cause: the time for a body is 2.3 s and 19.5 us for each byte received, so that what came fast was a credit for the silence after it.

Change: no single wait for the client is longer than 2.3 s. A client at 64 kB/s, in pieces every 0.5 s, is served as before.

--- a/src/proxy/downstream/request_body.rs
+++ b/src/proxy/downstream/request_body.rs
@@ -34,6 +34,9 @@
     Broken,
 }
 
+/// A client that sends nothing of its body for this long has stopped; its error is due 3 s after its last byte.
+const MAX_SILENCE: Duration = Duration::from_millis(2300);
+
 /// Returns the longest time that a client may take to send `bytes` bytes, with `extra_wait` on top of the time for the
 /// bytes.
 fn max_transfer_time(extra_wait: Duration, bytes: usize) -> Duration {
@@ -82,7 +85,7 @@
                 let since = *self.waiting_since.get_or_insert_with(Instant::now);
                 let max_wait =
                     max_transfer_time(self.extra_wait, self.received_bytes).saturating_sub(self.time_waited);
-                let due = since + max_wait;
+                let due = since + max_wait.min(MAX_SILENCE);
                 if self.timer.deadline() != due {
                     self.timer.as_mut().reset(due);
                 }
