Test a long upload with a small buffer behind the gateway

The test failed once beside load: 16 MB were handed over within 0.175 s, as the buffers of the backend's connection took the rest, so that the answer was due after 0.98 s and the refusal after 1.3 s was in time.

--- a/tests/sockets/slow_uploads.rs
+++ b/tests/sockets/slow_uploads.rs
@@ -28,11 +28,16 @@
     ResetsAfter(usize),
 }
 
-/// Starts a backend that treats each connection alike.
-fn slow_backend(behaviour: SlowBackend) -> SocketAddr {
+fn listener_with_small_buffer() -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     rustix::net::sockopt::set_socket_recv_buffer_size(&listener, BACKEND_BUFFER_BYTES)
         .expect("the socket option is set");
+    listener
+}
+
+/// Starts a backend that treats each connection alike.
+fn slow_backend(behaviour: SlowBackend) -> SocketAddr {
+    let listener = listener_with_small_buffer();
     let address = listener.local_addr().expect("the socket is bound");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -200,15 +205,15 @@
 
 #[test]
 fn a_body_longer_than_all_buffers_is_served_while_it_moves() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listener = listener_with_small_buffer();
     let address = listener.local_addr().expect("the socket is bound");
-    let length = 16_000_000;
+    let length = 32_000_000;
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("an attempt");
-        // 10 MB a second: longer than the time budget in all.
+        // 20 MB a second: longer than the time budget in all.
         let mut read = 0;
         while read < length {
-            read += read_up_to(&mut stream, 500_000.min(length - read));
+            read += read_up_to(&mut stream, 1_000_000.min(length - read));
             thread::sleep(Duration::from_millis(50));
         }
         read_up_to(&mut stream, 200);
