Say in a test's response that its connection closes

Trace: the stub closes its connection after each response without saying so. Where its thread is held up between the two, the gateway reuses the connection for the next request, which then ends as a reset; the class may not be sent again, so that 502 is right. With a pause of 20 ms in the stub between response and close the test fails each time (EADDRNOTAVAIL: 502); with Connection: close in the response it passes with the pause and without. All assertions stay.

--- a/tests/sockets/system_calls.rs
+++ b/tests/sockets/system_calls.rs
@@ -92,8 +92,9 @@
 fn a_local_resource_shortage_does_not_count_as_a_backend_fault() {
     for error in ["EADDRNOTAVAIL", "EMFILE", "ENOBUFS"] {
         // Each response ends its connection, so that each attempt needs a new one.
-        let respond_and_close =
-            || Reply::RawThenClose("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".into());
+        let respond_and_close = || {
+            Reply::RawThenClose("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok".into())
+        };
         let (backend, _discovery, _counter, faults, gateway) =
             gateway_under_faults(&format!("connect={error}@0.4"), respond_and_close);
         let mut served = 0;
