Reserve memory for every connection and request, and keep within the limit

What callers saw: a process with 32 MB and 1,024 descriptors passed its limit under 900 slow clients and was killed: 63.3 MB with heads of 90 short fields, 42.3 with half bodies, 36.4 with unread responses, 47.0 mixed (debug build); 38.5 to 49 MB with 600 such heads (release build).

Heads and header maps (20 KB for 100 fields, and a copy for each attempt), the state of an open request, chunks of a few bytes that keep the buffer they lie in, and streamed bodies were counted by nothing. A reservation ended with the answer, while attempts still held the request. Each connection held 4 KiB for its close from the start. Freed memory stayed with the process, so that the same crowd took 38, then 47, then 49 MB.

Change: MemoryBudget divides what the program leaves between connections of clients, connections to backends and messages, by bytes, and lowers the numbers of connections where the memory allows fewer. A request reserves its head with the map's capacity, its state and its body, until its last attempt has ended; without room it gets 429. Requests whose body is still arriving leave a quarter of the messages, and streamed bodies a quarter of the backends' connections, to others. Where connections are scarce, stalled bodies (0.6 s) and unread responses (2 s) are closed after idle ones, counted as evicted. Short chunks are collected in one piece.

Beside it: the time in which a client does not read a response is no longer counted as its backend's silence.

The cost of a plain request is not measured yet.

--- a/src/proxy/admin/metrics.rs
+++ b/src/proxy/admin/metrics.rs
@@ -58,12 +58,15 @@
     /// The connection broke, or the client sent something other than HTTP.
     #[strum(serialize = "broken")]
     Broken,
-    /// The connection was idle for too long, the request head came too slowly, or the permit was needed.
+    /// The connection was idle for too long, or the request head came too slowly.
     #[strum(serialize = "quiet")]
     Idle,
     /// The client had closed its side of the connection.
     #[strum(serialize = "left_unread")]
     ClosedByClient,
+    /// The connection's permit was needed, and its client was the slowest.
+    #[strum(serialize = "evicted")]
+    Evicted,
 }
 
 /// A counter of this process; each belongs to a single thread.
--- a/src/proxy/control_plane/config.rs
+++ b/src/proxy/control_plane/config.rs
@@ -119,6 +119,12 @@
         document::parse(text, listen, discovery)
     }
 
+    /// Returns how many processes of this gateway may run at the same time: a second one can take over only where the
+    /// listening socket is inherited.
+    pub fn process_count(&self) -> usize {
+        1 + usize::from(self.accept_descriptor.is_some())
+    }
+
     /// Returns the revision of the last known endpoint list, unless that list is empty.
     pub fn known_revision(&self) -> Option<u64> {
         let known = &self.known_endpoints;
--- a/src/proxy/downstream/client_input.rs
+++ b/src/proxy/downstream/client_input.rs
@@ -14,7 +14,9 @@
     /// Whether a head is expected, or the reader of a body waits for more. Otherwise hyper may hold bytes that were
     /// read.
     is_wanted: Cell<bool>,
-    /// When the gateway last waited for the client, with everything read that had arrived.
+    /// Since when the client is waited for, with everything read that has arrived.
+    waited_since: Cell<Option<Instant>>,
+    /// When the last such wait ended.
     drained_at: Cell<Instant>,
 }
 
@@ -25,23 +27,21 @@
             received_bytes: Cell::new(0),
             is_drained: Cell::new(false),
             is_wanted: Cell::new(true),
+            waited_since: Cell::new(None),
             drained_at: Cell::new(accepted_at),
         }
     }
 
-    fn is_waited_for(&self) -> bool {
-        self.is_drained.get() && self.is_wanted.get()
-    }
-
     /// Called when a read found nothing.
     pub fn drained(&self) {
         self.is_drained.set(true);
+        self.update_wait();
     }
 
     /// Called when bytes have arrived, whether or not they are read now.
     pub fn arrived(&self) {
-        self.end_wait();
         self.is_drained.set(false);
+        self.update_wait();
     }
 
     /// Called when bytes were read.
@@ -52,19 +52,31 @@
 
     /// Sets whether a head is expected, or the reader of a body waits for more.
     pub fn set_wanted(&self, wanted: bool) {
-        self.end_wait();
         self.is_wanted.set(wanted);
+        self.update_wait();
     }
 
-    fn end_wait(&self) {
-        if self.is_waited_for() {
-            self.drained_at.set(Instant::now());
+    fn update_wait(&self) {
+        let is_waited_for = self.is_drained.get() && self.is_wanted.get();
+        if is_waited_for == self.waited_since.get().is_some() {
+            return;
+        }
+        let now = Instant::now();
+        if !is_waited_for {
+            self.drained_at.set(now);
         }
+        self.waited_since.set(is_waited_for.then_some(now));
+    }
+
+    /// Returns since when the client is waited for, if it is.
+    pub fn waited_since(&self) -> Option<Instant> {
+        self.waited_since.get()
     }
 
     /// Returns the progress while the body of a request is read.
     pub fn progress(&self, clock: Clock) -> InputProgress {
-        let drained_at = if self.is_waited_for() { Instant::now() } else { self.drained_at.get() };
+        let is_waited_for = self.waited_since.get().is_some();
+        let drained_at = if is_waited_for { Instant::now() } else { self.drained_at.get() };
         InputProgress { received_bytes: self.received_bytes.get(), drained_at: clock.time_at(drained_at) }
     }
 }
--- a/src/proxy/downstream/client_socket.rs
+++ b/src/proxy/downstream/client_socket.rs
@@ -38,6 +38,7 @@
 
     fn after_write(&mut self, result: Poll<io::Result<usize>>, cx: &mut Context) -> Poll<io::Result<usize>> {
         self.connection.set_has_unwritten_bytes(true);
+        self.connection.set_write_waits(result.is_pending());
         if result.is_ready() {
             self.write_stall_timer = None;
             return result;
--- a/src/proxy/downstream/close.rs
+++ b/src/proxy/downstream/close.rs
@@ -46,7 +46,8 @@
 }
 
 async fn discard_input(stream: &TcpStream) {
-    let mut buffer = [0; READ_BUFFER_BYTES];
+    // Not part of the future, which each open connection holds.
+    let mut buffer = vec![0; READ_BUFFER_BYTES];
     let mut discarded = 0;
     while discarded < MAX_DISCARDED_BYTES && stream.readable().await.is_ok() {
         match stream.try_read(&mut buffer) {
--- a/src/proxy/downstream/connection.rs
+++ b/src/proxy/downstream/connection.rs
@@ -51,7 +51,7 @@
                 ConnectionCloseReason::Broken
             }
         },
-        () = connection.close_requested() => ConnectionCloseReason::Idle,
+        reason = connection.close_requested() => reason,
         () = closed_by_client(&stream, connection.input()) => ConnectionCloseReason::ClosedByClient,
     };
     debug!(?reason, client = ?stream.peer_addr().ok(), "client connection closed");
@@ -73,7 +73,8 @@
     let mut response = match request.uri().path() {
         "/_health" => health(context),
         path if path.starts_with(WRITES_PATH) => write_status(context, request.method(), path),
-        "/api" => handle(request, &open_request, context).await.unwrap_or_else(error_response),
+        // Boxed, so that a connection without a request does not hold the space of one.
+        "/api" => Box::pin(handle(request, &open_request, context)).await.unwrap_or_else(error_response),
         _ => plain_text(StatusCode::NOT_FOUND, "no such path\n"),
     };
     response.body_mut().keep_open(open_request);
--- a/src/proxy/downstream/connection/tests.rs
+++ b/src/proxy/downstream/connection/tests.rs
@@ -25,7 +25,7 @@
         lifecycle,
         metrics: Rc::default(),
         permits: Rc::new(Permits::new(4)),
-        memory: Rc::new(MemoryBudget::new(32.0, SocketLimits { clients: 4, backends: 4, counter: 1 })),
+        memory: Rc::new(MemoryBudget::new(32.0, 1, SocketLimits { clients: 4, backends: 4, counter: 1 })),
         rules: RequestRules { gateways: 1, max_units: 1.0, ..RequestRules::default() },
         request_ids: RequestIds::default(),
         response_margin: Micros(0),
--- a/src/proxy/downstream/idle_connections.rs
+++ b/src/proxy/downstream/idle_connections.rs
@@ -1,8 +1,8 @@
-//! Client connections without an open request: how long each may stay open, and which is closed first when permits are
-//! scarce.
+//! Client connections: how long each may stay open without a request, and which is closed first when permits are scarce.
 
 use super::client_input::ClientInput;
 use super::client_socket::ClientSocket;
+use crate::proxy::admin::metrics::ConnectionCloseReason;
 use crate::proxy::lifecycle::drain::Lifecycle;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -25,9 +25,14 @@
 /// Connections whose head is incomplete and made no progress for at least this long are closed next. The limit is long
 /// because clients write their heads in pieces.
 const MIN_HEAD_INACTIVITY: Duration = Duration::from_millis(600);
-/// Connections that have been idle between requests for at least this long are closed last.
+/// Connections that have been idle between requests for at least this long are closed next.
 const MIN_IDLE_INACTIVITY: Duration = Duration::from_millis(50);
 
+/// Then those whose client has sent nothing of its body for at least this long.
+const MIN_BODY_INACTIVITY: Duration = Duration::from_millis(600);
+/// Connections whose client has read nothing of its response for at least this long are closed last.
+const MIN_UNREAD_INACTIVITY: Duration = Duration::from_secs(2);
+
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -53,17 +58,22 @@
     head_deadline: Cell<Instant>,
     /// Whether part of a response is not written yet.
     has_unwritten_bytes: Cell<bool>,
-    /// Whether the connection is to be closed, unless bytes arrive first.
-    should_close: Cell<bool>,
+    /// Since when the client has read nothing of its response, if a write waits for it.
+    unread_since: Cell<Option<Instant>>,
+    /// Why the connection is to be closed, unless bytes arrive first.
+    close_reason: Cell<Option<ConnectionCloseReason>>,
     close_notify: Notify,
     input: Rc<ClientInput>,
 }
 
 impl ClientConnection {
-    /// Returns when the connection is to be closed.
-    pub async fn close_requested(&self) {
+    /// Returns when the connection is to be closed, with the reason.
+    pub async fn close_requested(&self) -> ConnectionCloseReason {
         // Guards against closing a connection on which a request arrived after the notification.
-        while !self.should_close.get() {
+        loop {
+            if let Some(reason) = self.close_reason.get() {
+                return reason;
+            }
             self.close_notify.notified().await;
         }
     }
@@ -75,10 +85,23 @@
     pub fn set_has_unwritten_bytes(&self, unwritten: bool) {
         self.has_unwritten_bytes.set(unwritten);
     }
-    fn request_close(&self) {
-        self.should_close.set(true);
+    /// Records whether a write waits because the client reads nothing.
+    pub fn set_write_waits(&self, waits: bool) {
+        let since = self.unread_since.get().filter(|_| waits);
+        self.unread_since.set(since.or_else(|| waits.then(Instant::now)));
+    }
+    fn request_close(&self, reason: ConnectionCloseReason) {
+        self.close_reason.set(Some(reason));
         self.close_notify.notify_one();
     }
+    /// Returns whether the client has sent nothing of the body of its open request for long enough.
+    fn has_stalled_body(&self, now: Instant) -> bool {
+        self.input.waited_since().is_some_and(|since| now >= since + MIN_BODY_INACTIVITY)
+    }
+    /// Returns whether the client has read nothing of its response for long enough.
+    fn has_unread_response(&self, now: Instant) -> bool {
+        self.unread_since.get().is_some_and(|since| now >= since + MIN_UNREAD_INACTIVITY)
+    }
     fn key(&self) -> (Instant, u64) {
         (self.last_activity.get(), self.id)
     }
@@ -86,20 +109,22 @@
 
 type ByLastActivity = BTreeMap<(Instant, u64), Rc<ClientConnection>>;
 
-/// All connections without an open request, by phase, the longest inactive first.
+/// All connections by phase, the longest inactive first.
 pub struct IdleConnections {
     lifecycle: Rc<Lifecycle>,
     last_id: Cell<u64>,
     new_connections: RefCell<ByLastActivity>,
     reading_head: RefCell<ByLastActivity>,
     idle: RefCell<ByLastActivity>,
+    request_open: RefCell<ByLastActivity>,
 }
 
 impl IdleConnections {
     /// Returns a registry without connections.
     pub fn new(lifecycle: Rc<Lifecycle>) -> IdleConnections {
-        let (new_connections, reading_head, idle) = Default::default();
-        IdleConnections { lifecycle, last_id: Cell::new(0), new_connections, reading_head, idle }
+        let (new_connections, reading_head, idle, request_open) = Default::default();
+        let last_id = Cell::new(0);
+        IdleConnections { lifecycle, last_id, new_connections, reading_head, idle, request_open }
     }
 
     /// Adds a connection that was accepted.
@@ -112,7 +137,8 @@
             last_activity: Cell::new(now),
             head_deadline: Cell::new(now + HEAD_TIMEOUT),
             has_unwritten_bytes: Cell::new(false),
-            should_close: Cell::new(false),
+            unread_since: Cell::new(None),
+            close_reason: Cell::new(None),
             close_notify: Notify::new(),
             input: Rc::new(ClientInput::new(now)),
         });
@@ -126,7 +152,8 @@
             Phase::New => Some(&self.new_connections),
             Phase::ReadingHead => Some(&self.reading_head),
             Phase::Idle => Some(&self.idle),
-            Phase::RequestOpen | Phase::Closed => None,
+            Phase::RequestOpen => Some(&self.request_open),
+            Phase::Closed => None,
         }
     }
 
@@ -139,7 +166,7 @@
         }
         connection.last_activity.set(Instant::now());
         connection.phase.set(phase);
-        connection.should_close.set(false);
+        connection.close_reason.set(None);
         if let Some(new) = self.connections_in(phase) {
             new.borrow_mut().insert(connection.key(), connection.clone());
         }
@@ -181,20 +208,43 @@
                 .borrow()
                 .values()
                 .filter(|connection| now >= connection.head_deadline.get())
-                .for_each(|connection| connection.request_close());
+                .for_each(|connection| connection.request_close(ConnectionCloseReason::Idle));
         }
         let idle = self.idle.borrow();
         let expired =
             idle.values().take_while(|connection| now >= connection.last_activity.get() + idle_timeout);
         expired
             .filter(|connection| !connection.has_unwritten_bytes.get())
-            .for_each(|connection| connection.request_close());
+            .for_each(|connection| connection.request_close(ConnectionCloseReason::Idle));
     }
 
     /// Closes one connection that has been inactive for long enough, if there is any. New connections come first, then
-    /// those with an incomplete head, then idle ones; in each group, the longest inactive comes first.
+    /// those with an incomplete head, idle ones, those with an incomplete body and those with an unread response; in each
+    /// group, the longest inactive comes first.
     pub fn evict_one(&self) {
         let now = Instant::now();
+        let _ = self.evict_without_request(now)
+            || self.evict_open(|connection| connection.has_stalled_body(now))
+            || self.evict_open(|connection| connection.has_unread_response(now));
+    }
+
+    /// Closes the connections whose response is not read for long enough.
+    pub fn evict_unread(&self) {
+        let now = Instant::now();
+        while self.evict_open(|connection| connection.has_unread_response(now)) {}
+    }
+
+    fn evict_open(&self, is_stalled: impl Fn(&ClientConnection) -> bool) -> bool {
+        let mut open = self.request_open.borrow_mut();
+        let stalled = open.iter().find(|(_, connection)| is_stalled(connection)).map(|(key, _)| *key);
+        // Removed from the list, so that the next call finds another connection.
+        let Some(connection) = stalled.and_then(|key| open.remove(&key)) else { return false };
+        connection.request_close(ConnectionCloseReason::Evicted);
+        true
+    }
+
+    /// Closes one connection without an open request. Returns whether there was any to be closed.
+    fn evict_without_request(&self, now: Instant) -> bool {
         let eviction_order = [
             (&self.new_connections, MIN_NEW_INACTIVITY),
             (&self.reading_head, MIN_HEAD_INACTIVITY),
@@ -205,11 +255,12 @@
             if connections.first_key_value().is_some_and(|(&(since, _), _)| now >= since + min_inactivity) {
                 // Removed from the list, so that the next call finds another connection.
                 if let Some((_, connection)) = connections.pop_first() {
-                    connection.request_close();
+                    connection.request_close(ConnectionCloseReason::Evicted);
                 }
-                return;
+                return true;
             }
         }
+        false
     }
 }
 
@@ -219,6 +270,12 @@
     connection: Rc<ClientConnection>,
 }
 
+impl std::fmt::Debug for OpenRequestGuard {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter) -> std::fmt::Result {
+        formatter.debug_struct("OpenRequestGuard").field("connection", &self.connection.id).finish()
+    }
+}
+
 impl OpenRequestGuard {
     /// What is known of the input of the request's connection.
     pub fn input(&self) -> Rc<ClientInput> {
--- a/src/proxy/downstream/request.rs
+++ b/src/proxy/downstream/request.rs
@@ -19,21 +19,27 @@
 use crate::proxy::cluster_transport::serialized_request::serialize;
 use crate::proxy::cluster_transport::write_queue_sender::accept_write;
 use crate::proxy::cluster_transport::ClusterTransport;
-use crate::proxy::memory_budget::MemoryBudget;
+use crate::proxy::memory_budget::{MemoryBudget, MemoryOwner, MemoryReservation};
 use crate::proxy::runtime::messages::FinalResponse;
 use crate::proxy::upstream::connection::MAX_BUFFERED_BODY_BYTES;
 use crate::proxy::upstream::forwarded_request::{strip_hop_by_hop, ForwardedRequest, RequestPayload};
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::cell::RefCell;
 use std::rc::Rc;
-use tokio::sync::{oneshot, OwnedSemaphorePermit};
+use tokio::sync::oneshot;
+use tracing::debug;
 
 /// Path prefix under which clients query the status of writes that a branch accepted.
 pub const WRITES_PATH: &str = "/writes/";
 
+/// State of an open request without its head and body, in bytes.
+const REQUEST_STATE_BYTES: usize = 8 * 1024;
+/// Memory of a header field in the request and in the copy that an attempt sends, in bytes.
+const BYTES_PER_FIELD: usize = 224;
+
 /// Body of a request, as far as it has been read.
 enum ReceivedBody {
     /// Complete body.
@@ -42,47 +48,58 @@
     Streamed(Box<StreamedRequestBody>, oneshot::Receiver<RequestBodyResult>),
 }
 
-/// Body of a request, and the memory reserved for the part that was read.
-struct BodyWithMemory {
-    body: ReceivedBody,
-    memory: Option<OwnedSemaphorePermit>,
-}
-
-impl BodyWithMemory {
-    fn streamed(
-        read: Bytes,
-        rest: RequestBodyReader,
-        memory: Option<OwnedSemaphorePermit>,
-    ) -> BodyWithMemory {
+impl ReceivedBody {
+    fn streamed(read: Bytes, rest: RequestBodyReader) -> ReceivedBody {
         let (body, end) = StreamedRequestBody::new(read, rest);
-        BodyWithMemory { body: ReceivedBody::Streamed(Box::new(body), end), memory }
+        ReceivedBody::Streamed(Box::new(body), end)
     }
 }
 
-/// Reads a short body to its end, if there is memory for it. Any other is streamed: a body of known length without
-/// reading any of it, a body of unknown length once it has turned out not to be short, or at its first bytes if there
-/// is no memory.
+/// Reads a short body to its end, if there is memory for it, which is added to that of the request. Any other is
+/// streamed: a body of known length without reading any of it, a body of unknown length once it has turned out not to be
+/// short, or at its first bytes if there is no memory.
 async fn receive_body(
     body: Incoming,
     open_request: &OpenRequestGuard,
-    memory: &MemoryBudget,
-) -> Result<BodyWithMemory, RequestError> {
+    budget: &MemoryBudget,
+    memory: &mut MemoryReservation,
+) -> Result<ReceivedBody, RequestError> {
+    if body.is_end_stream() {
+        return Ok(ReceivedBody::Buffered(Bytes::new()));
+    }
     let mut reader = RequestBodyReader::new(body, open_request.body_wait(), open_request.input());
     let length = reader.declared_length();
     if length.is_some_and(|length| length > MAX_REQUEST_BODY_BYTES) {
         return Err(BodyError::TooLong.into());
     }
-    let reserved = length.unwrap_or(MAX_BUFFERED_BODY_BYTES);
-    let memory = if reserved <= MAX_BUFFERED_BODY_BYTES { memory.reserve(reserved) } else { None };
-    if memory.is_none() && length.is_some() {
-        return Ok(BodyWithMemory::streamed(Bytes::new(), reader, None));
+    // A buffer of unknown length grows by doubling.
+    let needed = length.unwrap_or(2 * MAX_BUFFERED_BODY_BYTES);
+    let is_short = length.is_none_or(|length| length <= MAX_BUFFERED_BODY_BYTES);
+    let reserved = if is_short { budget.reserve(MemoryOwner::Upload, needed) } else { None };
+    let has_memory = reserved.is_some();
+    if let Some(reserved) = reserved {
+        memory.merge(reserved);
     }
-    let limit = if memory.is_some() { MAX_BUFFERED_BODY_BYTES } else { 0 };
-    let collected = reader.collect_up_to(limit).await?;
-    if collected.complete {
-        return Ok(BodyWithMemory { body: ReceivedBody::Buffered(collected.bytes), memory });
+    if !has_memory && length.is_some() {
+        return Ok(ReceivedBody::streamed(Bytes::new(), reader));
     }
-    Ok(BodyWithMemory::streamed(collected.bytes, reader, memory))
+    let collected = reader.collect_up_to(if has_memory { MAX_BUFFERED_BODY_BYTES } else { 0 }).await?;
+    match collected.complete {
+        true => Ok(ReceivedBody::Buffered(collected.bytes)),
+        false => Ok(ReceivedBody::streamed(collected.bytes, reader)),
+    }
+}
+
+/// Reserves memory for a request whose head was read. Returns `None` if there is not enough.
+fn reserve_memory(
+    budget: &MemoryBudget,
+    headers: &HeaderMap,
+    body_is_complete: bool,
+) -> Option<MemoryReservation> {
+    let owner = if body_is_complete { MemoryOwner::Request } else { MemoryOwner::Upload };
+    // The head stays in the connection's buffer while its fields are in use.
+    let bytes = REQUEST_STATE_BYTES + budget.buffer_bytes() + headers.capacity() * BYTES_PER_FIELD;
+    budget.reserve(owner, bytes)
 }
 
 /// Handles a request and returns its response.
@@ -97,9 +114,12 @@
 ) -> Result<Response<ClientResponseBody>, RequestError> {
     let (parts, incoming) = request.into_parts();
     let head = RequestHead::read(&parts.method, parts.uri.query(), &parts.headers, &context.rules)?;
-    let received = receive_body(incoming, open_request, &context.memory).await?;
-    // Keeps the memory reserved until the response is available.
-    let _memory = received.memory;
+    let Some(mut memory) = reserve_memory(&context.memory, &parts.headers, incoming.is_end_stream()) else {
+        let in_flight = context.metrics.request_received(head.arrival.class);
+        debug!(?open_request, "request rejected: its memory is not available");
+        return Ok(final_response(FinalResponse::Rejected { retry_after: None }, in_flight));
+    };
+    let body = receive_body(incoming, open_request, &context.memory, &mut memory).await?;
     let id = context.request_ids.next();
     // The time budget of a request starts with its last byte.
     let deadline = context.clock.now() + head.budget;
@@ -108,8 +128,9 @@
     // A client may send an absolute URI; a backend gets only path and query.
     let path = parts.uri.into_parts().path_and_query;
     let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
-    let request = ClientRequest { context, id, head, method: parts.method, uri, headers, deadline };
-    match received.body {
+    let memory = Rc::new(memory);
+    let request = ClientRequest { context, id, head, method: parts.method, uri, headers, deadline, memory };
+    match body {
         ReceivedBody::Buffered(body) => request.handle_buffered(body).await,
         ReceivedBody::Streamed(body, end) => request.handle_streamed(body, end, open_request.input()).await,
     }
@@ -124,6 +145,7 @@
     uri: Uri,
     headers: HeaderMap,
     deadline: Micros,
+    memory: Rc<MemoryReservation>,
 }
 
 impl ClientRequest<'_> {
@@ -149,7 +171,10 @@
         }
         let arrival = Arrival { deadline: self.deadline, ..self.head.arrival };
         let payload = RequestPayload::Buffered(body);
-        let forward = ForwardedRequest::new(self.method, self.uri, self.headers, payload);
+        let forward = ForwardedRequest {
+            memory: Some(self.memory),
+            ..ForwardedRequest::new(self.method, self.uri, self.headers, payload)
+        };
         let response = dispatch_with_id(self.id, self.context, arrival, forward).await;
         Ok(final_response(response, in_flight))
     }
@@ -170,7 +195,8 @@
         let forward = |claim| {
             let payload = RequestPayload::Buffered(body.clone());
             let (method, uri, headers) = (self.method.clone(), self.uri.clone(), self.headers.clone());
-            ForwardedRequest { claim, ..ForwardedRequest::new(method, uri, headers, payload) }
+            let memory = Some(self.memory.clone());
+            ForwardedRequest { claim, memory, ..ForwardedRequest::new(method, uri, headers, payload) }
         };
         let mut record = RecordedRequest::new(&self.head, key, &forward(None), body);
         let arrival = Arrival { deadline: self.deadline, ..self.head.arrival.clone() };
@@ -190,11 +216,12 @@
         if self.method == Method::GET {
             return Err(RequestError::BodyOnGet);
         }
-        let ClientRequest { context, id, head, method, uri, headers, .. } = self;
+        let ClientRequest { context, id, head, method, uri, headers, memory, .. } = self;
         let class = head.arrival.class;
         let (streamed, deadline) = StreamedRequest::new(context, id, head.budget, input, body_end);
         let payload = RequestPayload::Streamed { body: RefCell::new(Some(body)), deadline };
-        let forward = ForwardedRequest::new(method, uri, headers, payload);
+        let forward =
+            ForwardedRequest { memory: Some(memory), ..ForwardedRequest::new(method, uri, headers, payload) };
         let arrival = Arrival { id, streaming_body: true, ..head.arrival };
         let (response, in_flight) = streamed.dispatch(arrival, forward).await?;
         let in_flight = in_flight.unwrap_or_else(|| context.metrics.request_received(class));
--- a/src/proxy/downstream/request_body.rs
+++ b/src/proxy/downstream/request_body.rs
@@ -118,7 +118,8 @@
     ///
     /// Returns why the body was not received completely.
     pub async fn collect_up_to(&mut self, limit: usize) -> Result<CollectedBody, BodyError> {
-        let mut collected = BytesMut::new();
+        let expected = self.declared_length().filter(|length| *length <= limit).unwrap_or(0);
+        let mut collected = BytesMut::with_capacity(expected);
         while collected.len() <= limit {
             match self.next_chunk().await {
                 None => return Ok(CollectedBody { bytes: collected.freeze(), complete: true }),
--- a/src/proxy/downstream/response_body.rs
+++ b/src/proxy/downstream/response_body.rs
@@ -1,5 +1,6 @@
 //! Bodies of responses to clients, buffered or streamed.
 
+use crate::proxy::memory_budget::MemoryReservation;
 use crate::proxy::upstream::streamed_response::{ResponseBodyError, StreamedResponseBody};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -7,12 +8,11 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use tokio::sync::OwnedSemaphorePermit;
 
 /// Body of a response to a client.
 pub enum ResponseBody {
     /// Complete body, and its reserved memory, which is released once the body is written.
-    Buffered(Full<Bytes>, Option<OwnedSemaphorePermit>),
+    Buffered(Full<Bytes>, Option<MemoryReservation>),
     /// Body that is still arriving from a backend.
     Streamed(Box<StreamedResponseBody>),
 }
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -92,7 +92,8 @@
 ) {
     let idle_connections = Rc::new(IdleConnections::new(context.lifecycle.clone()));
     let shutdown = Shutdown::new(context.clone());
-    let mut server = ClientServer { context, idle_connections, shutdown, sweep: interval(SWEEP_INTERVAL) };
+    let mut server =
+        ClientServer { context, idle_connections, shutdown, sweep_interval: interval(SWEEP_INTERVAL) };
     server.accept_connections(listener, other_process_connections).await;
     server.finish_connections().await;
 }
@@ -102,7 +103,7 @@
     context: Rc<ProxyContext>,
     idle_connections: Rc<IdleConnections>,
     shutdown: Shutdown,
-    sweep: Interval,
+    sweep_interval: Interval,
 }
 
 impl ClientServer {
@@ -139,7 +140,7 @@
                     }
                 }
                 () = sleep(EVICTION_INTERVAL), if waits_for_permit => self.idle_connections.evict_one(),
-                _ = self.sweep.tick() => self.idle_connections.sweep(),
+                _ = self.sweep_interval.tick() => self.sweep(),
                 Ok(()) = other_process_connections.changed() => {
                     permits.reserve_for_other_process(*other_process_connections.borrow_and_update());
                 }
@@ -159,6 +160,14 @@
         }
     }
 
+    /// Closes connections whose time-out has expired, and those that hold up scarce transfers.
+    fn sweep(&self) {
+        self.idle_connections.sweep();
+        if self.context.memory.transfers_are_scarce() {
+            self.idle_connections.evict_unread();
+        }
+    }
+
     fn spawn_connection(&self, stream: TcpStream, permit: OwnedSemaphorePermit) {
         let (context, idle_connections) = (self.context.clone(), self.idle_connections.clone());
         tokio::task::spawn_local(async move {
@@ -174,7 +183,7 @@
         loop {
             tokio::select! {
                 () = &mut all_closed => return,
-                _ = self.sweep.tick() => self.idle_connections.sweep(),
+                _ = self.sweep_interval.tick() => self.sweep(),
                 () = sleep_until(self.shutdown.final_phase_at()), if !self.shutdown.is_in_final_phase() => {
                     self.shutdown.enter_final_phase();
                 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -9,6 +9,7 @@
 pub mod cluster_transport;
 pub mod control_plane;
 pub mod downstream;
+mod free_memory;
 pub mod lifecycle;
 mod log_rate_limit;
 pub mod memory_budget;
--- a/src/proxy/runtime.rs
+++ b/src/proxy/runtime.rs
@@ -116,7 +116,7 @@
         let counter_timeout = duration(settings.counter_timeout);
         let counter = counter.map(|address| CounterClient::new(address, counter_timeout, sockets.counter));
         let pool = ConnectionPool::new(
-            sockets.backends,
+            memory.sockets().backends,
             duration(settings.connect_timeout),
             backend_idle_timeout,
             metrics.clone(),
--- a/src/proxy/runtime/tests.rs
+++ b/src/proxy/runtime/tests.rs
@@ -29,7 +29,7 @@
         clock: Clock::start(),
         lifecycle: Rc::default(),
         metrics: Rc::default(),
-        memory: Rc::new(MemoryBudget::new(config.memory_mb, config.sockets)),
+        memory: Rc::new(MemoryBudget::new(config.memory_mb, 1, config.sockets)),
         outcomes: Rc::default(),
     };
     Runtime::new(config, shared).expect("settings").0
--- a/src/proxy/startup.rs
+++ b/src/proxy/startup.rs
@@ -15,6 +15,7 @@
 use super::downstream::context::{ProxyContext, RequestIds};
 use super::downstream::request_head::{ClassRules, RequestRules};
 use super::downstream::server;
+use super::free_memory::return_freed_memory;
 use super::lifecycle::drain::{Lifecycle, ShutdownPhase};
 use super::lifecycle::handover::Handover;
 use super::lifecycle::inherited_listener;
@@ -94,7 +95,8 @@
     let (runtime_sender, metrics) = (sender.clone(), parts.metrics.clone());
     spawn_local(follow_services(services, plan.known_revision, plan.timing, runtime_sender, metrics));
     let runtime_task = spawn_local(runtime.run());
-    let permits = Rc::new(Permits::new(plan.max_client_connections));
+    let permits = Rc::new(Permits::new(parts.memory.sockets().clients));
+    spawn_local(return_freed_memory(parts.memory.clone(), permits.clone()));
     let (other_process_sender, other_process_connections) = watch::channel(0);
     let handover = plan.handover(address, commands, &parts, permits.clone(), other_process_sender);
     let ledger = transport.filter(|transport| transport.has_ledger());
@@ -129,7 +131,7 @@
         clock: Clock::start(),
         lifecycle: Rc::new(Lifecycle::default()),
         metrics: Rc::new(Metrics::new(class_names(&config.site))),
-        memory: Rc::new(MemoryBudget::new(config.memory_mb, config.sockets)),
+        memory: Rc::new(MemoryBudget::new(config.memory_mb, config.process_count(), config.sockets)),
         outcomes: Rc::new(OutcomeRecorder::default()),
     }
 }
@@ -141,7 +143,6 @@
     operators: Option<SocketAddr>,
     accept_descriptor: Option<RawFd>,
     handover_folder: Option<PathBuf>,
-    max_client_connections: usize,
     known_revision: Option<u64>,
     timing: PollTiming,
     rules: RequestRules,
@@ -165,7 +166,6 @@
             operators: config.operators,
             accept_descriptor: config.accept_descriptor,
             handover_folder: config.handover_folder.clone(),
-            max_client_connections: config.sockets.clients,
             known_revision: config.known_revision(),
             timing: PollTiming::from_settings(settings),
             rules: RequestRules {
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -55,6 +55,13 @@
         let Some(permit) = self.try_acquire() else {
             return self.not_sent(NotSentReason::NoConnectionPermit);
         };
+        let transfer = match &request.body {
+            RequestPayload::Buffered(_) => None,
+            RequestPayload::Streamed { .. } => Some(self.memory.reserve_transfer()),
+        };
+        if matches!(transfer, Some(None)) {
+            return self.not_sent(NotSentReason::NoConnectionPermit);
+        }
         let attempt = Attempt {
             pool: self,
             backend,
--- a/src/proxy/upstream/attempt_result.rs
+++ b/src/proxy/upstream/attempt_result.rs
@@ -3,8 +3,8 @@
 use super::streamed_response::StreamedResponseBody;
 use crate::decision::{LoadReport, Outcome};
 use crate::proxy::admin::metrics::NotSentReason;
+use crate::proxy::memory_budget::MemoryReservation;
 use bytes::Bytes;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 /// Result of an attempt that has ended, or whose streamed response has started.
@@ -39,7 +39,7 @@
 /// Body of a 200 response.
 pub enum UpstreamResponseBody {
     /// Complete body, and the memory reserved for it.
-    Buffered(Bytes, Option<OwnedSemaphorePermit>),
+    Buffered(Bytes, Option<MemoryReservation>),
     /// Body whose start has arrived and whose rest is read as it arrives.
     Streamed(Box<StreamedResponseBody>),
 }
--- a/src/proxy/upstream/forwarded_request.rs
+++ b/src/proxy/upstream/forwarded_request.rs
@@ -3,6 +3,7 @@
 use super::attempt_tracker::AttemptTracker;
 use crate::proxy::cluster_transport::ledger_claim::LedgerClaim;
 use crate::proxy::downstream::request_body::{OutboundBody, StreamedRequestBody};
+use crate::proxy::memory_budget::MemoryReservation;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -31,6 +32,8 @@
     pub tracker: Option<Rc<AttemptTracker>>,
     /// Claim on the request's ledger record, if there is one.
     pub claim: Option<Rc<LedgerClaim>>,
+    /// Memory reserved for the request, if it comes from a client.
+    pub memory: Option<Rc<MemoryReservation>>,
 }
 
 impl ForwardedRequest {
@@ -44,6 +47,7 @@
             is_sendable: Cell::new(true),
             tracker: None,
             claim: None,
+            memory: None,
         }
     }
     /// Returns the client's id of the request, for logs.
@@ -58,7 +62,8 @@
         };
         let (method, uri, headers) = (self.method.clone(), self.uri.clone(), self.headers.clone());
         let forward = ForwardedRequest::new(method, uri, headers, RequestPayload::Buffered(body));
-        ForwardedRequest { tracker: self.tracker.clone(), claim: self.claim.clone(), ..forward }
+        let (tracker, claim, memory) = (self.tracker.clone(), self.claim.clone(), self.memory.clone());
+        ForwardedRequest { tracker, claim, memory, ..forward }
     }
 }
 
--- a/src/proxy/upstream/response.rs
+++ b/src/proxy/upstream/response.rs
@@ -5,20 +5,20 @@
 use super::connection::{Connection, MAX_BUFFERED_BODY_BYTES};
 use super::load_report;
 use super::pool::ConnectionPool;
-use super::streamed_response::StreamedResponseBody;
+use super::streamed_response::{StreamConnection, StreamedResponseBody};
 use crate::decision::{LoadReport, Outcome};
-use bytes::Bytes;
+use crate::proxy::memory_budget::MemoryOwner;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::HeaderName;
 use hyper::{Response, StatusCode};
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{sleep_until, Instant};
-use tracing::warn;
+use tracing::{debug, warn};
 
 const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
 
@@ -34,12 +34,11 @@
     pub permit: OwnedSemaphorePermit,
 }
 
-/// Part of a body that has arrived.
+/// Part of a body that has arrived, in one piece: a chunk of a few bytes would keep the whole buffer that it was read to.
 #[derive(Default)]
-struct CollectedChunks {
-    chunks: VecDeque<Bytes>,
-    bytes: usize,
-    /// When the first chunk arrived.
+struct CollectedBody {
+    bytes: BytesMut,
+    /// When the first bytes arrived.
     started_at: Option<Instant>,
 }
 
@@ -51,22 +50,16 @@
     Broken,
 }
 
-impl CollectedChunks {
+impl CollectedBody {
+    fn with_capacity(bytes: usize) -> CollectedBody {
+        CollectedBody { bytes: BytesMut::with_capacity(bytes), started_at: None }
+    }
+
     fn add_frame(&mut self, frame: Frame<Bytes>) {
         // Trailers apply to the backend's connection only and are dropped.
         let chunk = frame.into_data().unwrap_or_default();
-        self.bytes += chunk.len();
         self.started_at = self.started_at.or_else(|| Some(Instant::now()));
-        if !chunk.is_empty() {
-            self.chunks.push_back(chunk);
-        }
-    }
-
-    fn into_bytes(mut self) -> Bytes {
-        match self.chunks.len() {
-            1 => self.chunks.pop_front().unwrap_or_default(),
-            _ => Bytes::from(self.chunks.make_contiguous().concat()),
-        }
+        self.bytes.extend_from_slice(&chunk);
     }
 }
 
@@ -101,22 +94,29 @@
     let ResponseReading { pool, address, mut connection, permit } = reading;
     let length = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
     let reserved = length.unwrap_or(MAX_BUFFERED_BODY_BYTES);
-    let memory = if reserved <= MAX_BUFFERED_BODY_BYTES { pool.memory.reserve(reserved) } else { None };
+    let memory = match reserved <= MAX_BUFFERED_BODY_BYTES {
+        true => pool.memory.reserve(MemoryOwner::Response, reserved),
+        false => None,
+    };
     let limits = CollectLimits { has_memory: memory.is_some(), length_known: length.is_some() };
-    let mut collected = CollectedChunks::default();
+    let mut collected = CollectedBody::with_capacity(length.filter(|_| memory.is_some()).unwrap_or(0));
     match collect_body(&mut connection, &mut body, limits, &mut collected).await {
         CollectResult::Broken => Outcome::ConnectionReset.into(),
         CollectResult::Complete => {
             pool.release(address, connection);
-            let body = UpstreamResponseBody::Buffered(collected.into_bytes(), memory);
+            let body = UpstreamResponseBody::Buffered(collected.bytes.freeze(), memory);
             AttemptResult { body: Some(body), report, ..Outcome::Success.into() }
         }
         CollectResult::Partial => {
-            let CollectedChunks { chunks, started_at, .. } = collected;
-            let streamed = StreamedResponseBody::new(chunks, body, connection, pool.clone(), address, permit);
+            let Some(stream_permit) = pool.memory.reserve_transfer() else {
+                return response_without_room(address, report);
+            };
+            let connection =
+                StreamConnection { connection, pool: pool.clone(), address, permit, stream_permit };
+            let streamed = StreamedResponseBody::new(collected.bytes.freeze(), memory, body, connection);
             AttemptResult {
                 body: Some(UpstreamResponseBody::Streamed(Box::new(streamed))),
-                response_started_at: started_at,
+                response_started_at: collected.started_at,
                 report,
                 ..Outcome::Success.into()
             }
@@ -124,6 +124,13 @@
     }
 }
 
+/// Returns the result of an attempt whose response is long, while as many are streamed as may be.
+fn response_without_room(address: SocketAddr, report: LoadReport) -> AttemptResult {
+    debug!(%address, "response given up: too many responses are being streamed");
+    // It has run, and the backend is not at fault.
+    AttemptResult { report, ..Outcome::Cancelled.into() }
+}
+
 /// Conditions that decide how much of a body is collected.
 #[derive(Clone, Copy)]
 struct CollectLimits {
@@ -137,10 +144,10 @@
     connection: &mut Connection,
     body: &mut Incoming,
     limits: CollectLimits,
-    collected: &mut CollectedChunks,
+    collected: &mut CollectedBody,
 ) -> CollectResult {
     loop {
-        let waits_for_more = collected.chunks.is_empty() || limits.has_memory && limits.length_known;
+        let waits_for_more = collected.bytes.is_empty() || limits.has_memory && limits.length_known;
         let stream_at = collected.started_at.unwrap_or_else(Instant::now) + MAX_COLLECT_TIME;
         let frame = tokio::select! {
             biased;
@@ -152,7 +159,8 @@
             Some(None) => return CollectResult::Complete,
             Some(Some(Err(_))) | None => return CollectResult::Broken,
         }
-        if collected.bytes > 0 && (!limits.has_memory || collected.bytes > MAX_BUFFERED_BODY_BYTES) {
+        let length = collected.bytes.len();
+        if length > 0 && (!limits.has_memory || length > MAX_BUFFERED_BODY_BYTES) {
             return CollectResult::Partial;
         }
     }
--- a/src/proxy/upstream/streamed_response.rs
+++ b/src/proxy/upstream/streamed_response.rs
@@ -2,9 +2,9 @@
 
 use super::connection::Connection;
 use super::pool::ConnectionPool;
+use crate::proxy::memory_budget::MemoryReservation;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -24,39 +24,63 @@
     backend: SocketAddr,
 }
 
+/// Connection that a response is streamed from, and what it holds.
+pub(super) struct StreamConnection {
+    pub connection: Connection,
+    pub pool: Rc<ConnectionPool>,
+    pub address: SocketAddr,
+    /// Permit of the connection.
+    pub permit: OwnedSemaphorePermit,
+    /// Permit of the stream.
+    pub stream_permit: OwnedSemaphorePermit,
+}
+
+/// Start of a body that was received before it is streamed, with its memory.
+struct ReceivedStart {
+    bytes: Bytes,
+    memory: Option<MemoryReservation>,
+}
+
 /// Body of a response that is passed on as it arrives, at the pace of its reader. Dropping it before its end closes its
 /// connection.
 pub struct StreamedResponseBody {
-    received_chunks: VecDeque<Bytes>,
+    received: Option<ReceivedStart>,
+    /// Memory of the start of the body once it was passed on.
+    passed_on: Option<MemoryReservation>,
     rest: Incoming,
     connection: Option<Connection>,
     pool: Rc<ConnectionPool>,
     address: SocketAddr,
     _permit: OwnedSemaphorePermit,
+    _stream_permit: OwnedSemaphorePermit,
+    /// Runs while the backend is waited for.
     stall_timer: Pin<Box<Sleep>>,
+    waits_for_backend: bool,
     complete: bool,
     on_end: Option<Box<dyn FnOnce(bool)>>,
 }
 
 impl StreamedResponseBody {
-    /// Returns a body made of the chunks received so far and the rest, which is read from `connection`.
-    pub fn new(
-        received_chunks: VecDeque<Bytes>,
+    /// Returns a body made of the bytes received so far, with their memory, and the rest, which is read from
+    /// `connection`.
+    pub(super) fn new(
+        bytes: Bytes,
+        memory: Option<MemoryReservation>,
         rest: Incoming,
-        connection: Connection,
-        pool: Rc<ConnectionPool>,
-        address: SocketAddr,
-        permit: OwnedSemaphorePermit,
+        connection: StreamConnection,
     ) -> StreamedResponseBody {
-        let (connection, stall_timer) = (Some(connection), Box::pin(sleep(STALL_TIMEOUT)));
+        let StreamConnection { connection, pool, address, permit, stream_permit } = connection;
         StreamedResponseBody {
-            received_chunks,
+            received: Some(ReceivedStart { bytes, memory }).filter(|start| !start.bytes.is_empty()),
+            passed_on: None,
             rest,
-            connection,
+            connection: Some(connection),
             pool,
             address,
             _permit: permit,
-            stall_timer,
+            _stream_permit: stream_permit,
+            stall_timer: Box::pin(sleep(STALL_TIMEOUT)),
+            waits_for_backend: false,
             complete: false,
             on_end: None,
         }
@@ -96,11 +120,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseBodyError>>> {
-        if let Some(chunk) = self.received_chunks.pop_front() {
-            if self.received_chunks.is_empty() && self.rest.is_end_stream() {
+        if let Some(start) = self.received.take() {
+            self.passed_on = start.memory;
+            if self.rest.is_end_stream() {
                 self.finish();
             }
-            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+            return Poll::Ready(Some(Ok(Frame::data(start.bytes))));
         }
         loop {
             let this = &mut *self;
@@ -109,7 +134,7 @@
             connection.poll_io(cx);
             match Pin::new(&mut this.rest).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
-                    this.stall_timer.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+                    this.waits_for_backend = false;
                     if this.rest.is_end_stream() {
                         this.finish();
                     }
@@ -125,6 +150,10 @@
                 }
                 Poll::Pending if connection.is_closed() => return Poll::Ready(Some(Err(body_error))),
                 Poll::Pending => {
+                    // The time in which the client did not read is not the backend's.
+                    if !std::mem::replace(&mut this.waits_for_backend, true) {
+                        this.stall_timer.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+                    }
                     return this.stall_timer.as_mut().poll(cx).map(|()| Some(Err(body_error)));
                 }
             }
@@ -132,11 +161,11 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.complete && self.received_chunks.is_empty()
+        self.complete && self.received.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
-        let received_bytes: usize = self.received_chunks.iter().map(Bytes::len).sum();
+        let received_bytes = self.received.as_ref().map_or(0, |start| start.bytes.len());
         match self.rest.size_hint().exact() {
             Some(rest) if !self.complete => SizeHint::with_exact(rest + received_bytes as u64),
             Some(_) => SizeHint::with_exact(received_bytes as u64),
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -23,7 +23,7 @@
 }
 
 fn pool(connections: usize, idle: Duration) -> Rc<ConnectionPool> {
-    let memory = MemoryBudget::new(192.0, SocketLimits { clients: 8, backends: connections, counter: 1 });
+    let memory = MemoryBudget::new(192.0, 1, SocketLimits { clients: 8, backends: connections, counter: 1 });
     Rc::new(ConnectionPool::new(connections, LONG, idle, Rc::default(), Rc::new(memory)))
 }
 
--- a/tests/sockets/world/gateway.rs
+++ b/tests/sockets/world/gateway.rs
@@ -135,12 +135,15 @@
             thread::sleep(Duration::from_millis(5));
         }
     }
+    /// Returns a figure of the process's memory by its name in proc(5), in bytes, or `None` if it has exited.
+    pub fn memory(&self, name: &str) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let kib = status.lines().find_map(|line| line.strip_prefix(name))?;
+        Some(kib.trim_start_matches(':').trim().trim_end_matches(" kB").parse::<u64>().ok()? * 1024)
+    }
     /// Returns the largest resident memory of the process so far, in bytes.
     pub fn peak_memory(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.expect("the process runs");
-        let kib = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-        kib.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024
+        self.memory("VmHWM").expect("the process runs")
     }
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
