Take one pipelined request in each turn of the loop

Cause: hyper takes up to 16 requests of a connection in one poll, answers that need no backend are ready at once, and every other task waits for all connections in each of its steps.

Change: a request that was sent before the previous response yields once before it is looked at. A client that waits for its answers pays nothing.

--- a/src/proxy/downstream/connection.rs
+++ b/src/proxy/downstream/connection.rs
@@ -16,6 +16,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tracing::debug;
 
 /// Connection permits count as scarce when fewer than one in this many is available.
@@ -70,6 +71,10 @@
     context: &ProxyContext,
     open_request: OpenRequestGuard,
 ) -> Response<ClientResponseBody> {
+    if open_request.is_pipelined() {
+        // One request in each turn of the loop, so that a client that sends many at once holds up no other.
+        yield_now().await;
+    }
     let mut response = match request.uri().path() {
         "/_health" => health(context),
         path if path.starts_with(WRITES_PATH) => write_status(context, request.method(), path),
--- a/src/proxy/downstream/idle_connections.rs
+++ b/src/proxy/downstream/idle_connections.rs
@@ -191,13 +191,14 @@
 
     /// Called when the head of a request is complete. The request is open until the guard is dropped.
     pub fn open_request(self: &Rc<IdleConnections>, connection: &Rc<ClientConnection>) -> OpenRequestGuard {
-        if connection.phase.get() == Phase::Idle {
+        let is_pipelined = connection.phase.get() == Phase::Idle;
+        if is_pipelined {
             // The head arrived together with the previous request and was already in hyper's buffer.
             connection.head_deadline.set(Instant::now() + HEAD_TIMEOUT);
         }
         connection.input.set_wanted(false);
         self.set_phase(connection, Phase::RequestOpen);
-        OpenRequestGuard { registry: self.clone(), connection: connection.clone() }
+        OpenRequestGuard { registry: self.clone(), connection: connection.clone(), is_pipelined }
     }
 
     /// Closes the connections whose time-out has expired.
@@ -268,6 +269,7 @@
 pub struct OpenRequestGuard {
     registry: Rc<IdleConnections>,
     connection: Rc<ClientConnection>,
+    is_pipelined: bool,
 }
 
 impl std::fmt::Debug for OpenRequestGuard {
@@ -277,6 +279,11 @@
 }
 
 impl OpenRequestGuard {
+    /// Whether the request was sent before the response to the previous one.
+    pub fn is_pipelined(&self) -> bool {
+        self.is_pipelined
+    }
+
     /// What is known of the input of the request's connection.
     pub fn input(&self) -> Rc<ClientInput> {
         self.connection.input().clone()
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -8,6 +8,7 @@
 mod connection_close;
 mod descriptor_limit;
 mod endpoint_lists;
+mod floods;
 mod large_endpoint_lists;
 mod memory_limit;
 mod message_sizes;
