Bound the state of customers, and forget the timers of ended requests

Cause: customers were dropped by age alone, 350 bytes and their place in the map each; the timer of a deadline stayed in the module until it fired, also where its request had been answered or refused at once.

Change: the number of customers is bounded, 0.04 of the machine's memory at 600 bytes each (2,133 at 32 MB, 12,800 at 192). At the bound the quarter that was unused for longest is dropped, never one with open requests under a concurrency quota. What a dropped customer spent under its hard limit is forgotten, so that new customers count their limit from then on. The timer of a request ends with it; the runtime keeps 16 bytes until it is due.

--- a/src/decision/gateway.rs
+++ b/src/decision/gateway.rs
@@ -27,6 +27,9 @@
 use std::collections::BTreeMap;
 use timers::{Timer, Timers};
 
+/// Number of customers whose state is kept unless another limit is set.
+const DEFAULT_MAX_CUSTOMERS: usize = 30_000;
+
 /// Decision state of one gateway. It learns of other gateways only through its events, such as totals of the
 /// counter service and quota leases.
 pub struct Gateway {
@@ -40,6 +43,8 @@
     requests: BTreeMap<RequestId, Request>,
     queue: RequestQueue,
     customers: BTreeMap<CustomerId, Customer>,
+    /// Number of customers from which on the longest unused are dropped.
+    max_customers: usize,
     counter: CounterCalls,
     lease: LeaseView,
     shedding: LoadShedding,
@@ -64,6 +69,7 @@
             requests: BTreeMap::new(),
             queue: RequestQueue::default(),
             customers: BTreeMap::new(),
+            max_customers: DEFAULT_MAX_CUSTOMERS,
             counter: CounterCalls::default(),
             lease: LeaseView::default(),
             shedding: LoadShedding::default(),
@@ -77,6 +83,16 @@
         Ok(gateway)
     }
 
+    /// Sets the number of customers whose state is kept.
+    pub fn limit_customers(&mut self, max_customers: usize) {
+        self.max_customers = max_customers.max(1);
+    }
+
+    /// Number of customers whose state is kept at present.
+    pub fn customer_count(&self) -> usize {
+        self.customers.len()
+    }
+
     /// Handles one event and appends the resulting actions. If `now` is earlier than at the previous event, the
     /// previous time is used.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
@@ -115,9 +131,10 @@
         self.balancer.endpoints.get(&endpoint).is_some_and(|endpoint| endpoint.in_maintenance)
     }
 
-    fn set_timer(&mut self, timer: Timer, after: Micros) {
+    fn set_timer(&mut self, timer: Timer, after: Micros) -> TimerId {
         let timer = self.timers.set(timer);
         self.actions.push(Action::SetTimer { timer, after });
+        timer
     }
 
     fn on_timer(&mut self, id: TimerId) {
--- a/src/decision/gateway/arrival.rs
+++ b/src/decision/gateway/arrival.rs
@@ -6,6 +6,10 @@
 use crate::decision::ids::{CustomerId, RequestId};
 use crate::decision::request::{Attempt, Request};
 use crate::decision::routing;
+use crate::decision::time::Micros;
+
+/// Once there are too many customers, one in this many is dropped.
+const CUSTOMERS_DROPPED_DIVISOR: usize = 4;
 
 impl Gateway {
     pub(super) fn on_request(&mut self, arrival: Arrival) {
@@ -19,8 +23,9 @@
         let needs_quota = plan.rate > 0.0 && !arrival.already_counted;
         let may_be_shed = !arrival.already_counted;
         self.retry_budget.request_arrived();
-        self.set_deadline_timer(id, arrival.deadline);
+        let deadline = arrival.deadline;
         self.insert_request(arrival);
+        self.set_deadline_timer(id, deadline);
         if may_be_shed && self.draw_load_shedding(id) {
             self.reject(id, RejectionReason::LoadShed);
         } else if needs_quota {
@@ -32,6 +37,7 @@
 
     fn insert_request(&mut self, mut arrival: Arrival) {
         let (id, now, customer_id) = (arrival.id, self.context.now, arrival.customer);
+        self.make_room_for_customer(customer_id);
         let customer = self.customers.entry(customer_id).or_default();
         customer.request_arrived(&arrival, now, self.admitting_since.unwrap_or(now));
         arrival.is_retry = customer.is_retry(&arrival, now);
@@ -46,6 +52,22 @@
         self.begin_periods(customer_id);
     }
 
+    /// Drops the customers that were not used for longest if there are as many as there may be. A customer with requests
+    /// that count against its concurrency quota stays.
+    fn make_room_for_customer(&mut self, id: CustomerId) {
+        if self.customers.len() < self.max_customers || self.customers.contains_key(&id) {
+            return;
+        }
+        let mut last_used: Vec<Micros> = self.customers.values().map(|customer| customer.last_used).collect();
+        let oldest = (last_used.len() / CUSTOMERS_DROPPED_DIVISOR).min(last_used.len() - 1);
+        let (_, cutoff, _) = last_used.select_nth_unstable(oldest);
+        let cutoff = *cutoff;
+        self.customers.retain(|_, customer| customer.last_used > cutoff || customer.in_flight > 0.0);
+        // What a dropped customer spent under its hard limit is forgotten: its bucket is empty when it comes again, and
+        // fills from then on.
+        self.admitting_since = self.admitting_since.max(Some(cutoff));
+    }
+
     /// Advances a customer's counters to the current quota window and epoch.
     pub(super) fn begin_periods(&mut self, id: CustomerId) {
         if let Some(customer) = self.customers.get_mut(&id) {
--- a/src/decision/gateway/deadline.rs
+++ b/src/decision/gateway/deadline.rs
@@ -3,7 +3,7 @@
 use super::timers::Timer;
 use super::Gateway;
 use crate::decision::action::RejectionReason;
-use crate::decision::ids::RequestId;
+use crate::decision::ids::{RequestId, TimerId};
 use crate::decision::request::Request;
 use crate::decision::time::Micros;
 
@@ -11,7 +11,16 @@
     /// Sets the timer to two ticks before the deadline: it may fire one tick late, and the answer takes another.
     pub(super) fn set_deadline_timer(&mut self, id: RequestId, deadline: Micros) {
         let after = deadline - self.context.now - self.answer_time();
-        self.set_timer(Timer::Deadline(id), after);
+        let timer = self.set_timer(Timer::Deadline(id), after);
+        let previous = self.requests.get_mut(&id).and_then(|request| request.deadline_timer.replace(timer));
+        self.cancel_timer(previous);
+    }
+
+    /// Forgets a timer that is no longer needed, so that many short requests with long deadlines keep no state.
+    pub(super) fn cancel_timer(&mut self, timer: Option<TimerId>) {
+        if let Some(timer) = timer {
+            self.timers.cancel(timer);
+        }
     }
 
     /// Time between the decision on a request's end and its answer.
--- a/src/decision/gateway/endpoints.rs
+++ b/src/decision/gateway/endpoints.rs
@@ -15,7 +15,8 @@
     pub(super) fn on_endpoints(&mut self, scope: WatchScope, updates: Vec<EndpointUpdate>) {
         if scope == WatchScope::Failed {
             let delay = MIN_RESUBSCRIBE_DELAY_US + self.rng.u64(0..RESUBSCRIBE_JITTER_US);
-            return self.set_timer(Timer::Resubscribe, Micros(delay));
+            self.set_timer(Timer::Resubscribe, Micros(delay));
+            return;
         }
         self.balancer.apply_endpoint_list(&self.context, &mut self.rng, scope, updates);
         self.serve_queue();
--- a/src/decision/gateway/finish.rs
+++ b/src/decision/gateway/finish.rs
@@ -61,10 +61,12 @@
         let (customer_id, units) = (request.arrival.customer, request.arrival.units);
         let held_concurrency = std::mem::take(&mut request.holds_concurrency);
         let counted_in_window = request.counted_in_window.take();
+        let deadline_timer = request.deadline_timer.take();
         // The reply to a counter call in flight still needs to know whether the request was sent.
         if request.pending_counter_calls == 0 {
             self.requests.remove(&id);
         }
+        self.cancel_timer(deadline_timer);
         if let Some(window) = counted_in_window {
             self.refund_units(customer_id, window, units);
         }
--- a/src/decision/gateway/timers.rs
+++ b/src/decision/gateway/timers.rs
@@ -31,6 +31,11 @@
         id
     }
 
+    /// Forgets a timer that is no longer needed. Its expiry is then without effect.
+    pub(super) fn cancel(&mut self, id: TimerId) {
+        self.set.remove(&id);
+    }
+
     /// Removes the timer that fired and returns its purpose; `None`: this gateway did not set it, or it fired before.
     pub(super) fn fired(&mut self, id: TimerId) -> Option<Timer> {
         self.set.remove(&id)
--- a/src/decision/request.rs
+++ b/src/decision/request.rs
@@ -1,7 +1,7 @@
 //! State of a request, kept until it has its final answer and no attempt is in flight.
 
 use super::event::{Arrival, PriorAttempt};
-use super::ids::EndpointId;
+use super::ids::{EndpointId, TimerId};
 use super::routing_rules::RouteRule;
 use super::settings::{Class, Plan, Settings};
 use super::time::Micros;
@@ -39,6 +39,8 @@
     pub(crate) holds_concurrency: bool,
     /// Number of calls to the counter made for this request that have no reply yet.
     pub(crate) pending_counter_calls: u32,
+    /// Timer of the deadline.
+    pub(crate) deadline_timer: Option<TimerId>,
     /// Time since which the request has been queued for an endpoint with capacity.
     pub(crate) queued_since: Option<Micros>,
     /// Whether the response is being sent to the client.
--- a/src/proxy/memory_budget.rs
+++ b/src/proxy/memory_budget.rs
@@ -16,6 +16,10 @@
 const MIN_DIVIDED_FRACTION: f64 = 0.25;
 /// Fraction of the divided memory that is in use at a time; the allocator holds the rest in free blocks.
 const USABLE_FRACTION: f64 = 0.6;
+/// Fraction of the machine's memory for the state of customers, a part of the program's own.
+const CUSTOMERS_FRACTION: f64 = 0.04;
+/// State of a customer, in bytes.
+const CUSTOMER_BYTES: f64 = 600.0;
 /// Fraction of the usable memory for connections of clients.
 const CLIENTS_FRACTION: f64 = 0.36;
 /// Fraction of the usable memory for connections to backends.
@@ -101,6 +105,7 @@
 /// Memory for connections and messages.
 pub struct MemoryBudget {
     sockets: SocketLimits,
+    customers: usize,
     buffer_bytes: usize,
     messages: Permits,
     /// Bodies that may be streamed at a time, in both directions.
@@ -123,6 +128,7 @@
         let buffer_bytes = for_client.min(for_backend / BUFFERS_PER_BACKEND);
         MemoryBudget {
             sockets: SocketLimits { clients, backends, ..sockets },
+            customers: (bytes * CUSTOMERS_FRACTION / CUSTOMER_BYTES) as usize,
             buffer_bytes: buffer_bytes.clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES),
             messages: Permits::new((usable * MESSAGES_FRACTION) as usize / PERMIT_BYTES),
             transfers: Permits::new((backends - backends / KEPT_FROM_TRANSFERS_DIVISOR).max(1)),
@@ -135,6 +141,11 @@
         self.sockets
     }
 
+    /// Returns the number of customers whose state is kept.
+    pub fn customers(&self) -> usize {
+        self.customers
+    }
+
     /// Returns the largest size of a connection's buffer, in bytes.
     pub fn buffer_bytes(&self) -> usize {
         self.buffer_bytes
--- a/src/proxy/runtime.rs
+++ b/src/proxy/runtime.rs
@@ -110,7 +110,8 @@
         let Config { site, counter, sockets, seed, known_endpoints, backend_idle_timeout, cluster, .. } =
             config;
         let settings = &site.settings;
-        let gateway = Gateway::new(seed, settings.clone()).map_err(ConfigError::from)?;
+        let mut gateway = Gateway::new(seed, settings.clone()).map_err(ConfigError::from)?;
+        gateway.limit_customers(memory.customers());
         let (sender, events) = mpsc::channel(MAX_QUEUED_EVENTS);
         let (admin_sender, commands) = mpsc::channel(MAX_QUEUED_COMMANDS);
         let counter_timeout = duration(settings.counter_timeout);
