Close slow clients of a crowded predecessor for its successor

Cause: slow clients are closed where permits are scarce, and the process that holds them is not the one that lacks them.

Change: a predecessor that holds more than a quarter of the connections closes those that it would close if it were short itself.

--- a/src/proxy/downstream/idle_connections.rs
+++ b/src/proxy/downstream/idle_connections.rs
@@ -221,12 +221,17 @@
 
     /// Closes one connection that has been inactive for long enough, if there is any. New connections come first, then
     /// those with an incomplete head, idle ones, those with an incomplete body and those with an unread response; in each
-    /// group, the longest inactive comes first.
-    pub fn evict_one(&self) {
+    /// group, the longest inactive comes first. Returns whether there was any.
+    pub fn evict_one(&self) -> bool {
         let now = Instant::now();
-        let _ = self.evict_without_request(now)
+        self.evict_without_request(now)
             || self.evict_open(|connection| connection.has_stalled_body(now))
-            || self.evict_open(|connection| connection.has_unread_response(now));
+            || self.evict_open(|connection| connection.has_unread_response(now))
+    }
+
+    /// Closes all connections that [`IdleConnections::evict_one`] would close one after the other.
+    pub fn evict_all(&self) {
+        while self.evict_one() {}
     }
 
     /// Closes the connections whose response is not read for long enough.
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -28,6 +28,9 @@
 /// truncate them, so only SIGKILL or this limit ends them.
 const MAX_STREAMING_AFTER_SIGTERM: Duration = Duration::from_secs(60);
 
+/// A predecessor with more than one in this many permits closes the connections of slow clients: its successor has only the
+/// rest.
+const CROWDED_DIVISOR: usize = 4;
 /// Receive buffer of a client connection, in bytes; the system doubles it for its own accounting.
 const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
 
@@ -129,7 +132,7 @@
                         backoff.succeeded();
                         accepted = Some(stream);
                         if permits.available() == 0 {
-                            self.idle_connections.evict_one();
+                            let _ = self.idle_connections.evict_one();
                         }
                     }
                     Err(error) => backoff.failed(&error).await,
@@ -139,7 +142,9 @@
                         self.spawn_connection(stream, permit);
                     }
                 }
-                () = sleep(EVICTION_INTERVAL), if waits_for_permit => self.idle_connections.evict_one(),
+                () = sleep(EVICTION_INTERVAL), if waits_for_permit => {
+                    let _ = self.idle_connections.evict_one();
+                }
                 _ = self.sweep_interval.tick() => self.sweep(),
                 Ok(()) = other_process_connections.changed() => {
                     permits.reserve_for_other_process(*other_process_connections.borrow_and_update());
@@ -160,12 +165,17 @@
         }
     }
 
-    /// Closes connections whose time-out has expired, and those that hold up scarce transfers.
+    /// Closes connections whose time-out has expired, those that hold up scarce transfers, and those that keep permits from
+    /// the successor.
     fn sweep(&self) {
         self.idle_connections.sweep();
         if self.context.memory.transfers_are_scarce() {
             self.idle_connections.evict_unread();
         }
+        let permits = &self.context.permits;
+        if self.context.lifecycle.is_replaced() && permits.in_use() * CROWDED_DIVISOR > permits.total() {
+            self.idle_connections.evict_all();
+        }
     }
 
     fn spawn_connection(&self, stream: TcpStream, permit: OwnedSemaphorePermit) {
