Add a soak of slow peers, floods and signals to the lab

The judge checks lost, late, cut, twice, begun after the close, crash, memory, descriptors, and prints the record of each request that broke a rule.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -36,6 +36,8 @@
     Up(Up),
     /// Measure the gateways' membership protocol in virtual time at several cluster sizes and print a table.
     Members(Members),
+    /// Play slow clients, slow backends, floods and signals against one gateway within its limits, one play for each seed.
+    Soak(Soak),
     /// Report all errors of scenario files without running them.
     Check {
         /// Scenario files.
@@ -127,6 +129,15 @@
     common: Common,
 }
 
+#[derive(Debug, Args)]
+struct Soak {
+    /// Seeds, as a range `1..8` (both ends included) or a list `1,5,9`.
+    #[arg(long, value_parser = seeds, default_value = "1..4")]
+    seeds: Seeds,
+    #[command(flatten)]
+    common: Common,
+}
+
 #[derive(Debug, Args)]
 struct Members {
     /// Cluster sizes.
@@ -253,6 +264,7 @@
             );
             Ok(0)
         }
+        Command::Soak(arguments) => soak(arguments).await,
         Command::Check { scenarios } => Ok(check(&scenarios)),
     };
     outcome.unwrap_or_else(|failure| {
@@ -306,6 +318,26 @@
     Ok(RunResources { binary: absolute(&binary), second, folder })
 }
 
+/// Plays a soak for each seed, and prints a row for each and the records that broke a rule.
+async fn soak(arguments: Soak) -> Result<u8, Failure> {
+    let resources = resources(&arguments.common)?;
+    let mut broken = 0;
+    println!("{}", table::soak_header());
+    for seed in arguments.seeds.0 {
+        let folder = resources.folder.join(seed.to_string());
+        let result = crate::soak::play(&resources.binary, &folder, seed).await;
+        let result =
+            result.map_err(|error| Failure { text: format!("soak, seed {seed}: {error:#}"), code: 1 })?;
+        println!("{}", table::soak_row(&result));
+        for violation in &result.violations {
+            println!("    {}: {}", violation.rule, violation.evidence);
+        }
+        broken += usize::from(!result.violations.is_empty());
+    }
+    println!("{broken} plays broke a rule; logs: {}", resources.folder.display());
+    Ok(u8::from(broken > 0))
+}
+
 /// Returns exit code 0 if all checks passed, otherwise 1.
 pub(crate) fn code(result: &RunResult) -> u8 {
     u8::from(result.verdict.word != VerdictKind::Held)
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod serve;
 pub mod settings;
 mod shutdown_signal;
+pub mod soak;
 pub mod stats;
 pub mod table;
 mod write_status_poll;
--- a/lab/src/table.rs
+++ b/lab/src/table.rs
@@ -115,3 +115,29 @@
         _ => format!("{value:.3}"),
     }
 }
+
+/// Returns the header of the rows of a soak.
+pub fn soak_header() -> String {
+    "seed   MB  fds  crowd  requests  served   peak MB  peak fds  broken  steps and kinds".into()
+}
+
+/// Returns the row of one play of a soak.
+pub fn soak_row(result: &crate::soak::SoakResult) -> String {
+    let plan = &result.plan;
+    let steps: Vec<String> =
+        plan.steps.iter().map(|(at, step)| format!("{:.1} {step:?}", at.as_secs_f64())).collect();
+    format!(
+        "{:4} {:4} {:4} {:6} {:9} {:7} {:9.1} {:9} {:7}  {} {:?}",
+        plan.seed,
+        plan.memory_mb,
+        plan.sockets,
+        plan.crowd,
+        result.requests,
+        result.served,
+        result.peak_memory as f64 / 1e6,
+        result.peak_descriptors,
+        result.violations.len(),
+        steps.join(", "),
+        plan.crowd_kinds
+    )
+}
