Look for the uplink in the list that a gateway starts with

Cause: the check of the uplink dials a backend of a list of its own, which is filled when an endpoint list is applied, but only once recording is on; it was turned on after the runtime had applied the list of its configuration, and an answer without changes fills nothing.

Change: recording is on before the runtime applies its first list. Siblings: hand-over applies its list with recording on; a list from storage does not exist; reload changes addresses of services alone.

Result: the new test of three gateways fails before (the write is not forwarded within 10 s) and passes now.

--- a/src/proxy/startup.rs
+++ b/src/proxy/startup.rs
@@ -78,6 +78,10 @@
 ) -> Result<(), RunError> {
     let plan = StartPlan::from_config(&config)?;
     let parts = shared_parts(&config);
+    if plan.queues_writes() {
+        // Before the runtime applies its first endpoint list, after which none may come for long.
+        parts.outcomes.start_recording_reachability();
+    }
     let (runtime, commands) = Runtime::new(config, parts.clone())?;
     let sender = runtime.sender();
     let (queued_writes, writes_to_forward) = mpsc::channel(MAX_QUEUED_WRITES);
@@ -104,7 +108,6 @@
     if let Some(ledger) = ledger {
         if plan.queues_writes() {
             spawn_local(forward_writes(context.clone(), ledger.clone(), writes_to_forward));
-            parts.outcomes.start_recording_reachability();
             spawn_local(check_uplink(parts.outcomes.clone()));
         }
         if plan.finishes_requests() {
--- a/tests/sockets/branch.rs
+++ b/tests/sockets/branch.rs
@@ -1,7 +1,7 @@
 //! A branch that is cut off: writes are accepted by a majority of its gateways, survive the gateway that accepted them,
 //! and run in order once the connection is back.
 
-use crate::takeover::{cluster_files_with, start_ledger_gateway};
+use crate::takeover::{cluster_files_with, start_ledger_gateway, start_ledger_gateway_with};
 use crate::world::*;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -221,3 +221,25 @@
     let posts_sent = backend.requests().iter().filter(|r| r.line.starts_with("POST")).count();
     assert_eq!((write_status().trim(), posts_sent), ("unknown: it may have run", 1));
 }
+
+#[test]
+fn a_branch_whose_list_never_changes_notices_that_its_uplink_is_back() {
+    let refusing = Refusing::start();
+    let entry = backend_entry("s-1", refusing.address(), "ready");
+    let discovery = Discovery::start(&entry);
+    let (counter, files) = (counter_stub(), cluster_files_with(BRANCH));
+    // The last known list is the present one, so that discovery has nothing to tell.
+    let known = format!("\"known\":{},\"settings\":", endpoint_list(41, true, &entry));
+    let config = config(discovery.stub.address, counter.address).replace("\"settings\":", &known);
+    let gateways: Vec<Gateway> =
+        (0..3).map(|number| start_ledger_gateway_with(number, &config, &files[number])).collect();
+    for gateway in &gateways {
+        gateway.wait_ready();
+        gateway.wait_for_metric("fleet.branch.votes", 1);
+    }
+    wait_until_cut_off(&gateways);
+    send_accepted_write(&gateways[0], 1);
+    // No request is sent from here on: the gateways have to look for the uplink themselves.
+    let backend = Stub::start_on(refusing.listen(), |_| http("200 OK", "done"));
+    backend.wait_for("the accepted write", |log| log.requests.iter().any(|r| r.line.starts_with("POST")));
+}
--- a/tests/sockets/takeover.rs
+++ b/tests/sockets/takeover.rs
@@ -52,9 +52,13 @@
 }
 
 pub fn start_ledger_gateway(number: usize, discovery: &Discovery, counter: &Stub, file: &PathBuf) -> Gateway {
+    start_ledger_gateway_with(number, &config(discovery.stub.address, counter.address), file)
+}
+
+/// Starts a gateway of the cluster with this configuration, apart from its number.
+pub fn start_ledger_gateway_with(number: usize, config: &str, file: &PathBuf) -> Gateway {
     let position = format!("\"balancers\":3,\"my_number\":{number}");
-    let config =
-        config(discovery.stub.address, counter.address).replace("\"balancers\":2,\"my_number\":0", &position);
+    let config = config.replace("\"balancers\":2,\"my_number\":0", &position);
     let mut command: Command = gateway_command(&config);
     command.env("NODE_FLEET", file);
     Gateway::spawn(command)
--- a/tests/sockets/world/stub.rs
+++ b/tests/sockets/world/stub.rs
@@ -81,7 +81,13 @@
 
 impl Stub {
     pub fn start(respond: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Stub {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Stub::start_on(TcpListener::bind("127.0.0.1:0").expect("a port"), respond)
+    }
+    /// Starts a stub on a socket that listens already.
+    pub fn start_on(
+        listener: TcpListener,
+        respond: impl Fn(&Message) -> Reply + Send + Sync + 'static,
+    ) -> Stub {
         let stub = Stub { address: listener.local_addr().expect("the socket is bound"), log: Arc::default() };
         let (respond, recorder) = (Arc::new(respond), stub.clone());
         thread::spawn(move || {
@@ -194,6 +200,13 @@
     pub fn address(&self) -> SocketAddr {
         self.socket.local_addr().expect("the socket is bound")
     }
+    /// Accepts connections from now on.
+    pub fn listen(self) -> TcpListener {
+        let listener = on_runtime(async { self.socket.listen(64).expect("the socket listens").into_std() });
+        let listener = listener.expect("a socket");
+        listener.set_nonblocking(false).expect("the socket option is set");
+        listener
+    }
 }
 
 /// A listener whose backlog is full, so that new connections are not established until the test accepts.
