--- a/src/proxy/admin/call.rs
+++ b/src/proxy/admin/call.rs
@@ -9,6 +9,7 @@
 use super::stats;
 use crate::proxy::cluster_transport::ClusterTransport;
 use crate::proxy::lifecycle::drain::Lifecycle;
+use crate::proxy::memory_budget::MemoryBudget;
 use crate::proxy::runtime::messages::{AdminCommand, AdminSender};
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
@@ -27,6 +28,8 @@
     pub commands: AdminSender,
     /// Counters of this process.
     pub metrics: Rc<Metrics>,
+    /// Division of the machine's memory.
+    pub memory: Rc<MemoryBudget>,
     /// Whether the gateway serves, drains or shuts down.
     pub lifecycle: Rc<Lifecycle>,
     /// The cluster, if the gateway is part of one.
@@ -148,6 +151,7 @@
         return AdminReply::runtime_timeout();
     };
     let mut text = stats::process_lines(&context.metrics, endpoints);
+    text.push_str(&stats::memory_lines(&context.memory));
     if let Some(cluster) = context.cluster.as_ref().and_then(|cluster| cluster.stats()) {
         text.push_str(&stats::cluster_lines(&cluster));
     }
--- a/src/proxy/admin/stats.rs
+++ b/src/proxy/admin/stats.rs
@@ -9,6 +9,7 @@
 use crate::cluster::{Agreement, ClusterReport, MemberState, StorageStatus, ViewReport};
 use crate::decision::EndpointCounts;
 use crate::proxy::cluster_transport::stats::{ClusterStats, LedgerStats, RolloutStats, WriteQueueStats};
+use crate::proxy::memory_budget::MemoryBudget;
 use strum::VariantArray;
 
 /// First part of every key.
@@ -64,6 +65,17 @@
     lines.text
 }
 
+/// Returns the lines of the memory that is reserved by owner, in bytes, and of reservations that were refused.
+pub fn memory_lines(memory: &MemoryBudget) -> String {
+    let mut lines = StatsText::new(PREFIX.to_string());
+    for usage in memory.usage() {
+        let owner: &str = usage.owner.into();
+        lines.line(&format!("memory.reserved.{owner}"), usage.reserved_bytes as u64);
+        lines.line(&format!("memory.refused.{owner}"), usage.refusals);
+    }
+    lines.text
+}
+
 fn class_lines(lines: &mut StatsText, class: &ClassMetrics) {
     let name = &class.name;
     lines.line(&format!("requests.{name}.served"), class.served.get());
--- a/src/proxy/downstream/connection.rs
+++ b/src/proxy/downstream/connection.rs
@@ -55,7 +55,7 @@
         reason = connection.close_requested() => reason,
         () = closed_by_client(&stream, connection.input()) => ConnectionCloseReason::ClosedByClient,
     };
-    debug!(?reason, client = ?stream.peer_addr().ok(), "client connection closed");
+    debug!(?connection, ?reason, client = ?stream.peer_addr().ok(), "client connection closed");
     context.metrics.connection_closes.increment(reason);
     let may_have_response_in_flight =
         matches!(reason, ConnectionCloseReason::Completed | ConnectionCloseReason::Broken);
--- a/src/proxy/downstream/idle_connections.rs
+++ b/src/proxy/downstream/idle_connections.rs
@@ -277,6 +277,20 @@
     is_pipelined: bool,
 }
 
+impl std::fmt::Debug for ClientConnection {
+    /// Writes what a log line needs: number, state, input, and how long the client has read nothing.
+    fn fmt(&self, formatter: &mut std::fmt::Formatter) -> std::fmt::Result {
+        formatter
+            .debug_struct("ClientConnection")
+            .field("number", &self.id)
+            .field("phase", &self.phase.get())
+            .field("for", &self.last_activity.get().elapsed())
+            .field("unread_for", &self.unread_since.get().map(|since| since.elapsed()))
+            .field("input", &self.input)
+            .finish()
+    }
+}
+
 impl std::fmt::Debug for OpenRequestGuard {
     fn fmt(&self, formatter: &mut std::fmt::Formatter) -> std::fmt::Result {
         formatter.debug_struct("OpenRequestGuard").field("connection", &self.connection.id).finish()
--- a/src/proxy/startup.rs
+++ b/src/proxy/startup.rs
@@ -290,6 +290,7 @@
         let context = AdminContext {
             commands: commands.clone(),
             metrics: parts.metrics.clone(),
+            memory: parts.memory.clone(),
             lifecycle: parts.lifecycle.clone(),
             cluster: transport,
             names: self.known_names(),
