Keep descriptors for both processes of a hand-over

Cause: standard streams, listeners, signals, discovery and operators were reserved once, and each process has its own.

--- a/src/proxy/control_plane/config.rs
+++ b/src/proxy/control_plane/config.rs
@@ -84,6 +84,7 @@
             handover_folder: environment::handover_folder(),
             ..parsed
         };
+        config.sockets = config.sockets.shared_by(config.process_count());
         config.check_seats()?;
         if let Some(cluster) = &mut config.cluster {
             cluster.resolve_classes(&config.site)?;
--- a/src/proxy/control_plane/config/socket_limits.rs
+++ b/src/proxy/control_plane/config/socket_limits.rs
@@ -33,4 +33,11 @@
         let clients = descriptors.saturating_sub(backends + counter + RESERVED_DESCRIPTORS).max(1);
         SocketLimits { clients, backends, counter }
     }
+
+    /// Returns the limits where this many processes of one gateway share the descriptors. Connections are divided between
+    /// them while they run; each needs its own reserved ones.
+    pub(super) fn shared_by(self, processes: usize) -> SocketLimits {
+        let reserved = processes.saturating_sub(1) * RESERVED_DESCRIPTORS;
+        SocketLimits { clients: self.clients.saturating_sub(reserved).max(1), ..self }
+    }
 }
