Do not take the end of a body for a wait for its client

Cause: hyper reads the socket for its end once it has a whole body, finds nothing, and the reader of the body, whose turn had not come, still waited for more. The pause between the two, some milliseconds in each turn of a busy loop, counted as a wait for the client, so that the budget began anew when the body ended.

Change: a wait ends the reader's want with the first bytes read, and counts only if bytes arrived at its end.

--- a/src/proxy/downstream/client_input.rs
+++ b/src/proxy/downstream/client_input.rs
@@ -11,12 +11,14 @@
     received_bytes: Cell<u64>,
     /// Whether the last read found nothing, and nothing has arrived since.
     is_drained: Cell<bool>,
-    /// Whether a head is expected, or the reader of a body waits for more. Otherwise hyper may hold bytes that were
-    /// read.
-    is_wanted: Cell<bool>,
+    /// Whether a head is expected.
+    expects_head: Cell<bool>,
+    /// Whether the reader of a body waits for more and nothing was read for it yet. Otherwise hyper may hold bytes that
+    /// were read, the last ones of the body among them.
+    expects_body: Cell<bool>,
     /// Since when the client is waited for, with everything read that has arrived.
     waited_since: Cell<Option<Instant>>,
-    /// When the last such wait ended.
+    /// When bytes arrived at the end of the last such wait.
     drained_at: Cell<Instant>,
 }
 
@@ -26,7 +28,8 @@
         ClientInput {
             received_bytes: Cell::new(0),
             is_drained: Cell::new(false),
-            is_wanted: Cell::new(true),
+            expects_head: Cell::new(true),
+            expects_body: Cell::new(false),
             waited_since: Cell::new(None),
             drained_at: Cell::new(accepted_at),
         }
@@ -40,32 +43,40 @@
 
     /// Called when bytes have arrived, whether or not they are read now.
     pub fn arrived(&self) {
+        if self.waited_since.get().is_some() {
+            self.drained_at.set(Instant::now());
+        }
         self.is_drained.set(false);
         self.update_wait();
     }
 
     /// Called when bytes were read.
     pub fn received(&self, bytes: usize) {
+        self.expects_body.set(false);
         self.arrived();
         self.received_bytes.set(self.received_bytes.get() + bytes as u64);
     }
 
-    /// Sets whether a head is expected, or the reader of a body waits for more.
-    pub fn set_wanted(&self, wanted: bool) {
-        self.is_wanted.set(wanted);
+    /// Sets whether a head is expected.
+    pub fn set_expects_head(&self, expected: bool) {
+        self.expects_head.set(expected);
+        self.expects_body.set(false);
+        self.update_wait();
+    }
+
+    /// Sets whether the reader of a body waits for more. If it got more without a read of the socket, hyper held it, and
+    /// the client was not waited for.
+    pub fn set_expects_body(&self, expected: bool) {
+        self.expects_body.set(expected);
         self.update_wait();
     }
 
     fn update_wait(&self) {
-        let is_waited_for = self.is_drained.get() && self.is_wanted.get();
-        if is_waited_for == self.waited_since.get().is_some() {
-            return;
-        }
-        let now = Instant::now();
-        if !is_waited_for {
-            self.drained_at.set(now);
+        let is_expected = self.expects_head.get() || self.expects_body.get();
+        let is_waited_for = self.is_drained.get() && is_expected;
+        if is_waited_for != self.waited_since.get().is_some() {
+            self.waited_since.set(is_waited_for.then(Instant::now));
         }
-        self.waited_since.set(is_waited_for.then_some(now));
     }
 
     /// Returns since when the client is waited for, if it is.
--- a/src/proxy/downstream/idle_connections.rs
+++ b/src/proxy/downstream/idle_connections.rs
@@ -196,7 +196,7 @@
             // The head arrived together with the previous request and was already in hyper's buffer.
             connection.head_deadline.set(Instant::now() + HEAD_TIMEOUT);
         }
-        connection.input.set_wanted(false);
+        connection.input.set_expects_head(false);
         self.set_phase(connection, Phase::RequestOpen);
         OpenRequestGuard { registry: self.clone(), connection: connection.clone(), is_pipelined }
     }
@@ -317,7 +317,7 @@
 
 impl Drop for OpenRequestGuard {
     fn drop(&mut self) {
-        self.connection.input.set_wanted(true);
+        self.connection.input.set_expects_head(true);
         self.registry.set_phase(&self.connection, Phase::Idle);
     }
 }
--- a/src/proxy/downstream/request_body.rs
+++ b/src/proxy/downstream/request_body.rs
@@ -80,7 +80,7 @@
     fn poll_chunk(&mut self, cx: &mut Context) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
             let frame = Pin::new(&mut self.body).poll_frame(cx);
-            self.input.set_wanted(frame.is_pending());
+            self.input.set_expects_body(frame.is_pending());
             let Poll::Ready(frame) = frame else {
                 let since = *self.waiting_since.get_or_insert_with(Instant::now);
                 let max_wait =
