Divide descriptors from the start of a hand-over, and see what hyper holds

Cause: the successor had all connections until the predecessor's first report, and each process keeps an eighth beyond what the other leaves. The end of a body that hyper held was still a wait for the client, so that an upload to a stuck backend was closed as stalled where permits are scarce.

Change: the successor begins with the eighth, and the numbers leave room for it. The reader of a body tells by its waker that hyper had more for it.

--- a/src/proxy/control_plane/config/socket_limits.rs
+++ b/src/proxy/control_plane/config/socket_limits.rs
@@ -1,5 +1,7 @@
 //! Divides the process's descriptors between kinds of connections, so that no kind can starve another.
 
+use crate::proxy::lifecycle::permits::MIN_KEPT_DIVISOR;
+
 /// Limit on the connections of operators.
 pub const MAX_OPERATOR_CONNECTIONS: usize = 8;
 /// Descriptors reserved for everything but clients, backends and the counter: standard streams, listeners, epoll,
@@ -37,7 +39,13 @@
     /// Returns the limits where this many processes of one gateway share the descriptors. Connections are divided between
     /// them while they run; each needs its own reserved ones.
     pub(super) fn shared_by(self, processes: usize) -> SocketLimits {
-        let reserved = processes.saturating_sub(1) * RESERVED_DESCRIPTORS;
-        SocketLimits { clients: self.clients.saturating_sub(reserved).max(1), ..self }
+        if processes < 2 {
+            return self;
+        }
+        let all = self.clients + self.backends + self.counter;
+        let shared = all.saturating_sub((processes - 1) * RESERVED_DESCRIPTORS);
+        // While one process uses all connections of a kind, the other may open an eighth of them.
+        let divided = shared * MIN_KEPT_DIVISOR / (MIN_KEPT_DIVISOR + 1);
+        SocketLimits { clients: divided.saturating_sub(self.backends + self.counter).max(1), ..self }
     }
 }
--- a/src/proxy/downstream/client_input.rs
+++ b/src/proxy/downstream/client_input.rs
@@ -1,8 +1,10 @@
 //! What is known of a client's input that the gateway has not read.
 
+use super::wake_flag::WakeFlag;
 use crate::decision::InputProgress;
 use crate::proxy::runtime::clock::Clock;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::sync::Arc;
 use tokio::time::Instant;
 
 /// Input of one connection, updated by its socket and by the reader of the present request's body.
@@ -13,9 +15,9 @@
     is_drained: Cell<bool>,
     /// Whether a head is expected.
     expects_head: Cell<bool>,
-    /// Whether the reader of a body waits for more and nothing was read for it yet. Otherwise hyper may hold bytes that
-    /// were read, the last ones of the body among them.
-    expects_body: Cell<bool>,
+    /// Set while the reader of a body waits for more and nothing was read for it yet; its flag tells that hyper had more,
+    /// the end of the body among it.
+    body_reader: RefCell<Option<Arc<WakeFlag>>>,
     /// Since when the client is waited for, with everything read that has arrived.
     waited_since: Cell<Option<Instant>>,
     /// When bytes arrived at the end of the last such wait.
@@ -29,7 +31,7 @@
             received_bytes: Cell::new(0),
             is_drained: Cell::new(false),
             expects_head: Cell::new(true),
-            expects_body: Cell::new(false),
+            body_reader: RefCell::default(),
             waited_since: Cell::new(None),
             drained_at: Cell::new(accepted_at),
         }
@@ -52,7 +54,7 @@
 
     /// Called when bytes were read.
     pub fn received(&self, bytes: usize) {
-        self.expects_body.set(false);
+        self.body_reader.replace(None);
         self.arrived();
         self.received_bytes.set(self.received_bytes.get() + bytes as u64);
     }
@@ -60,19 +62,23 @@
     /// Sets whether a head is expected.
     pub fn set_expects_head(&self, expected: bool) {
         self.expects_head.set(expected);
-        self.expects_body.set(false);
+        self.body_reader.replace(None);
         self.update_wait();
     }
 
-    /// Sets whether the reader of a body waits for more. If it got more without a read of the socket, hyper held it, and
-    /// the client was not waited for.
-    pub fn set_expects_body(&self, expected: bool) {
-        self.expects_body.set(expected);
+    /// Sets the flag of the reader of a body that waits for more, or that none waits. If it gets more without a read of the
+    /// socket, hyper held it, and the client was not waited for.
+    pub fn set_body_reader(&self, reader: Option<Arc<WakeFlag>>) {
+        self.body_reader.replace(reader);
         self.update_wait();
     }
 
+    fn expects_body(&self) -> bool {
+        self.body_reader.borrow().as_ref().is_some_and(|reader| !reader.is_woken())
+    }
+
     fn update_wait(&self) {
-        let is_expected = self.expects_head.get() || self.expects_body.get();
+        let is_expected = self.expects_head.get() || self.expects_body();
         let is_waited_for = self.is_drained.get() && is_expected;
         if is_waited_for != self.waited_since.get().is_some() {
             self.waited_since.set(is_waited_for.then(Instant::now));
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -20,3 +20,4 @@
 pub(crate) mod response_body;
 pub mod server;
 pub(crate) mod streamed_request;
+mod wake_flag;
--- a/src/proxy/downstream/request_body.rs
+++ b/src/proxy/downstream/request_body.rs
@@ -2,6 +2,7 @@
 //! the minimum rate is an error. [`OutboundBody`] is the body of an outbound call, which may be such a stream.
 
 use super::client_input::ClientInput;
+use super::wake_flag::WakeFlag;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -10,7 +11,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant, Sleep};
@@ -79,8 +80,10 @@
     /// Polls for the next chunk that is not empty. Only time spent waiting for the client counts towards the time-out.
     fn poll_chunk(&mut self, cx: &mut Context) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
-            let frame = Pin::new(&mut self.body).poll_frame(cx);
-            self.input.set_expects_body(frame.is_pending());
+            let flag = WakeFlag::new(cx.waker().clone());
+            let waker = Waker::from(flag.clone());
+            let frame = Pin::new(&mut self.body).poll_frame(&mut Context::from_waker(&waker));
+            self.input.set_body_reader(Some(flag).filter(|_| frame.is_pending()));
             let Poll::Ready(frame) = frame else {
                 let since = *self.waiting_since.get_or_insert_with(Instant::now);
                 let max_wait =
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -117,6 +117,7 @@
         mut other_process_connections: watch::Receiver<usize>,
     ) {
         let permits = self.context.permits.clone();
+        permits.reserve_for_other_process(*other_process_connections.borrow_and_update());
         let mut lifecycle = self.context.lifecycle.subscribe();
         let mut backoff = AcceptBackoff::default();
         // The accepted connection that waits for a permit.
--- a/src/proxy/lifecycle/handover.rs
+++ b/src/proxy/lifecycle/handover.rs
@@ -80,6 +80,8 @@
         if taken.is_none() {
             return;
         }
+        // Until the predecessor reports how many it holds, it may hold all.
+        self.other_process_connections.send_replace(usize::MAX);
         info!("taking over from the predecessor process");
         tokio::task::spawn_local(self.clone().follow_predecessor(connection, outgoing));
     }
--- a/src/proxy/lifecycle/permits.rs
+++ b/src/proxy/lifecycle/permits.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 /// While permits are reserved for another process, this process keeps at least `1 / MIN_KEPT_DIVISOR` of the total.
-const MIN_KEPT_DIVISOR: usize = 8;
+pub const MIN_KEPT_DIVISOR: usize = 8;
 
 /// How often it is checked whether all permits are unused.
 const UNUSED_CHECK_INTERVAL: Duration = Duration::from_millis(10);
