Keep memory and connections for short writes beside slow bodies

What callers saw: beside a crowd of half bodies every short write was refused, 167 of 167 (429), at 1,024 and at 256 descriptors; beside mixed crowds 149 and 168, beside a hand-over 182 of 186. The test sent reads alone, which have no body, and so did not show it; it now sends reads and short writes in turns, also at 256 descriptors.

Cause: a request counted as an upload, which leaves a quarter of the memory to others, as soon as it had a body at all. The bodies of slow clients took the other three quarters, and could also take all connections of clients where descriptors are few.

Mend: a body of up to 8 KiB and of a declared length that arrives with its head (5 ms) takes the memory of ordinary requests. Any other counts as slow: slow bodies share three quarters of the memory and hold at most half of the connections of clients; while fewer than an eighth of that half is left, those that have stopped for 0.6 s are closed. The reading of bodies moves to `request_intake.rs`.

--- a/src/proxy/downstream/idle_connections.rs
+++ b/src/proxy/downstream/idle_connections.rs
@@ -232,6 +232,12 @@
         while self.evict_open(|connection| connection.has_unread_response(now, limits)) {}
     }
 
+    /// Closes the connections whose client has sent nothing of its body for long enough.
+    pub fn evict_stalled_bodies(&self, limits: EvictionLimits) {
+        let now = Instant::now();
+        while self.evict_open(|connection| connection.has_stalled_body(now, limits)) {}
+    }
+
     fn evict_open(&self, is_stalled: impl Fn(&ClientConnection) -> bool) -> bool {
         let mut open = self.request_open.borrow_mut();
         let stalled = open.iter().find(|(_, connection)| is_stalled(connection)).map(|(key, _)| *key);
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -1,7 +1,7 @@
 //! The client side of the proxy: connections, requests, bodies and responses.
 //!
 //! [`server`] accepts connections and [`connection`] serves each of them. [`request`] handles one request: it parses
-//! the head ([`request_head`]), reads the body ([`request_body`]), sends the request to the runtime ([`dispatch`]) and
+//! the head ([`request_head`]), reads the body ([`request_intake`], [`request_body`]), sends the request to the runtime ([`dispatch`]) and
 //! returns the response ([`client_response`]).
 
 pub(crate) mod accept;
@@ -18,6 +18,7 @@
 pub(crate) mod request_body;
 pub(crate) mod request_error;
 pub(crate) mod request_head;
+mod request_intake;
 pub(crate) mod response_body;
 pub mod server;
 pub(crate) mod streamed_request;
--- a/src/proxy/downstream/request.rs
+++ b/src/proxy/downstream/request.rs
@@ -6,11 +6,10 @@
 use super::context::ProxyContext;
 use super::dispatch::dispatch_with_id;
 use super::idle_connections::OpenRequestGuard;
-use super::request_body::{
-    BodyError, RequestBodyReader, RequestBodyResult, StreamedRequestBody, MAX_REQUEST_BODY_BYTES,
-};
+use super::request_body::{RequestBodyResult, StreamedRequestBody};
 use super::request_error::RequestError;
 use super::request_head::RequestHead;
+use super::request_intake::{receive, ReceivedBody, ReceivedRequest};
 use super::streamed_request::StreamedRequest;
 use crate::cluster::write_queue::Dot;
 use crate::decision::{Arrival, Micros, RequestId};
@@ -19,12 +18,11 @@
 use crate::proxy::cluster_transport::serialized_request::serialize;
 use crate::proxy::cluster_transport::write_queue_sender::accept_write;
 use crate::proxy::cluster_transport::ClusterTransport;
-use crate::proxy::memory_budget::{MemoryBudget, MemoryOwner, MemoryReservation};
+use crate::proxy::memory_budget::MemoryReservation;
 use crate::proxy::runtime::messages::FinalResponse;
-use crate::proxy::upstream::connection::MAX_BUFFERED_BODY_BYTES;
 use crate::proxy::upstream::forwarded_request::{strip_hop_by_hop, ForwardedRequest, RequestPayload};
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::cell::RefCell;
@@ -35,73 +33,6 @@
 /// Path prefix under which clients query the status of writes that a branch accepted.
 pub const WRITES_PATH: &str = "/writes/";
 
-/// State of an open request without its head and body, in bytes.
-const REQUEST_STATE_BYTES: usize = 8 * 1024;
-/// Memory of a header field in the request and in the copy that an attempt sends, in bytes.
-const BYTES_PER_FIELD: usize = 224;
-
-/// Body of a request, as far as it has been read.
-enum ReceivedBody {
-    /// Complete body.
-    Buffered(Bytes),
-    /// Body whose rest is passed on as it arrives, and the receiver of its result.
-    Streamed(Box<StreamedRequestBody>, oneshot::Receiver<RequestBodyResult>),
-}
-
-impl ReceivedBody {
-    fn streamed(read: Bytes, rest: RequestBodyReader) -> ReceivedBody {
-        let (body, end) = StreamedRequestBody::new(read, rest);
-        ReceivedBody::Streamed(Box::new(body), end)
-    }
-}
-
-/// Reads a short body to its end, if there is memory for it, which is added to that of the request. Any other is
-/// streamed: a body of known length without reading any of it, a body of unknown length once it has turned out not to be
-/// short, or at its first bytes if there is no memory.
-async fn receive_body(
-    body: Incoming,
-    open_request: &OpenRequestGuard,
-    budget: &MemoryBudget,
-    memory: &mut MemoryReservation,
-) -> Result<ReceivedBody, RequestError> {
-    if body.is_end_stream() {
-        return Ok(ReceivedBody::Buffered(Bytes::new()));
-    }
-    let mut reader = RequestBodyReader::new(body, open_request.body_wait(), open_request.input());
-    let length = reader.declared_length();
-    if length.is_some_and(|length| length > MAX_REQUEST_BODY_BYTES) {
-        return Err(BodyError::TooLong.into());
-    }
-    // A buffer of unknown length grows by doubling.
-    let needed = length.unwrap_or(2 * MAX_BUFFERED_BODY_BYTES);
-    let is_short = length.is_none_or(|length| length <= MAX_BUFFERED_BODY_BYTES);
-    let reserved = if is_short { budget.reserve(MemoryOwner::Upload, needed) } else { None };
-    let has_memory = reserved.is_some();
-    if let Some(reserved) = reserved {
-        memory.merge(reserved);
-    }
-    if !has_memory && length.is_some() {
-        return Ok(ReceivedBody::streamed(Bytes::new(), reader));
-    }
-    let collected = reader.collect_up_to(if has_memory { MAX_BUFFERED_BODY_BYTES } else { 0 }).await?;
-    match collected.complete {
-        true => Ok(ReceivedBody::Buffered(collected.bytes)),
-        false => Ok(ReceivedBody::streamed(collected.bytes, reader)),
-    }
-}
-
-/// Reserves memory for a request whose head was read. Returns `None` if there is not enough.
-fn reserve_memory(
-    budget: &MemoryBudget,
-    headers: &HeaderMap,
-    body_is_complete: bool,
-) -> Option<MemoryReservation> {
-    let owner = if body_is_complete { MemoryOwner::Request } else { MemoryOwner::Upload };
-    // The head stays in the connection's buffer while its fields are in use.
-    let bytes = REQUEST_STATE_BYTES + budget.buffer_bytes() + headers.capacity() * BYTES_PER_FIELD;
-    budget.reserve(owner, bytes)
-}
-
 /// Handles a request and returns its response.
 ///
 /// # Errors
@@ -114,12 +45,12 @@
 ) -> Result<Response<ClientResponseBody>, RequestError> {
     let (parts, incoming) = request.into_parts();
     let head = RequestHead::read(&parts.method, parts.uri.query(), &parts.headers, &context.rules)?;
-    let Some(mut memory) = reserve_memory(&context.memory, &parts.headers, incoming.is_end_stream()) else {
+    let received = receive(incoming, &parts.headers, open_request, &context.memory).await?;
+    let Some(ReceivedRequest { body, memory }) = received else {
         let in_flight = context.metrics.request_received(head.arrival.class);
-        debug!(?open_request, "request rejected: its memory is not available");
+        debug!(?open_request, "request rejected: its memory or connection is not available");
         return Ok(final_response(FinalResponse::Rejected { retry_after: None }, in_flight));
     };
-    let body = receive_body(incoming, open_request, &context.memory, &mut memory).await?;
     let id = context.request_ids.next();
     // The time budget of a request starts with its last byte.
     let deadline = context.clock.time_at(open_request.input().last_arrival()) + head.budget;
--- a/src/proxy/downstream/request_body.rs
+++ b/src/proxy/downstream/request_body.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
 use tokio::time::{sleep, Instant, Sleep};
 
 /// Longest body that a client may send, in bytes.
@@ -55,6 +55,8 @@
     waiting_since: Option<Instant>,
     timer: Pin<Box<Sleep>>,
     input: Rc<ClientInput>,
+    /// Held once the body has turned out not to arrive with its head.
+    connection_permit: Option<OwnedSemaphorePermit>,
 }
 
 impl RequestBodyReader {
@@ -69,9 +71,15 @@
             waiting_since: None,
             timer,
             input,
+            connection_permit: None,
         }
     }
 
+    /// Keeps the permit for a connection with a slow body until the body has been read.
+    pub fn hold(&mut self, permit: OwnedSemaphorePermit) {
+        self.connection_permit = Some(permit);
+    }
+
     /// Returns the length in bytes, if the client declared it.
     pub fn declared_length(&self) -> Option<usize> {
         self.body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX))
@@ -115,21 +123,20 @@
         std::future::poll_fn(|cx| self.poll_chunk(cx)).await
     }
 
-    /// Reads until the end of the body, or until more than `limit` bytes have arrived.
+    /// Adds what arrives to `collected`, until the end of the body or until it holds more than `limit` bytes. Returns whether
+    /// the body has ended. Nothing is lost if the call is dropped.
     ///
     /// # Errors
     ///
     /// Returns why the body was not received completely.
-    pub async fn collect_up_to(&mut self, limit: usize) -> Result<CollectedBody, BodyError> {
-        let expected = self.declared_length().filter(|length| *length <= limit).unwrap_or(0);
-        let mut collected = BytesMut::with_capacity(expected);
+    pub async fn collect_into(&mut self, collected: &mut BytesMut, limit: usize) -> Result<bool, BodyError> {
         while collected.len() <= limit {
             match self.next_chunk().await {
-                None => return Ok(CollectedBody { bytes: collected.freeze(), complete: true }),
+                None => return Ok(true),
                 Some(chunk) => collected.extend_from_slice(&chunk?),
             }
         }
-        Ok(CollectedBody { bytes: collected.freeze(), complete: false })
+        Ok(false)
     }
 
     /// Reads and discards the rest, so that the client finishes sending and reads its response.
@@ -138,14 +145,6 @@
     }
 }
 
-/// Start of a body, or all of it.
-pub struct CollectedBody {
-    /// Bytes received so far.
-    pub bytes: Bytes,
-    /// Whether this is the complete body.
-    pub complete: bool,
-}
-
 /// Progress of a body that is being sent to a backend.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum BodyProgress {
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -175,6 +175,9 @@
         if self.context.memory.transfers_are_scarce() {
             self.idle_connections.evict_unread(EvictionLimits::default());
         }
+        if self.context.memory.slow_bodies_are_scarce() {
+            self.idle_connections.evict_stalled_bodies(EvictionLimits::default());
+        }
         let permits = &self.context.permits;
         if self.context.lifecycle.is_replaced() && permits.in_use() * CROWDED_DIVISOR > permits.total() {
             self.idle_connections.evict_all(EvictionLimits::default());
--- a/src/proxy/memory_budget.rs
+++ b/src/proxy/memory_budget.rs
@@ -43,8 +43,10 @@
 /// One in this many of the connections to backends is kept from long transfers: streamed bodies of requests and responses,
 /// which a slow peer may hold for long.
 const KEPT_FROM_TRANSFERS_DIVISOR: usize = 4;
-/// Transfers count as scarce when fewer than one in this many may start.
-const SCARCE_TRANSFERS_DIVISOR: usize = 8;
+/// One in this many of the connections of clients is kept from requests whose body is still arriving.
+const KEPT_FROM_SLOW_BODIES_DIVISOR: usize = 2;
+/// Transfers, or bodies that hold connections, count as scarce when fewer than one in this many may start.
+const SCARCE_DIVISOR: usize = 8;
 
 /// What memory is reserved for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr, VariantArray)]
@@ -81,21 +83,11 @@
 /// Memory that is reserved until this is dropped.
 #[derive(Debug)]
 pub struct MemoryReservation {
-    permit: OwnedSemaphorePermit,
+    _permit: OwnedSemaphorePermit,
     bytes: usize,
     usage: Rc<Usage>,
 }
 
-impl MemoryReservation {
-    /// Adds another reservation of the same owner to this one.
-    pub fn merge(&mut self, mut other: MemoryReservation) {
-        if let Some(permit) = other.permit.split(other.permit.num_permits()) {
-            self.permit.merge(permit);
-        }
-        self.bytes += std::mem::take(&mut other.bytes);
-    }
-}
-
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
         self.usage.reserved_bytes.set(self.usage.reserved_bytes.get().saturating_sub(self.bytes));
@@ -110,6 +102,8 @@
     messages: Permits,
     /// Bodies that may be streamed at a time, in both directions.
     transfers: Permits,
+    /// Requests whose body may be arriving at a time.
+    slow_bodies: Permits,
     usage: [Rc<Usage>; MemoryOwner::VARIANTS.len()],
 }
 
@@ -132,6 +126,7 @@
             buffer_bytes: buffer_bytes.clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES),
             messages: Permits::new((usable * MESSAGES_FRACTION) as usize / PERMIT_BYTES),
             transfers: Permits::new((backends - backends / KEPT_FROM_TRANSFERS_DIVISOR).max(1)),
+            slow_bodies: Permits::new((clients - clients / KEPT_FROM_SLOW_BODIES_DIVISOR).max(1)),
             usage: Default::default(),
         }
     }
@@ -164,11 +159,11 @@
             false => None,
         };
         let Some(permit) = permit else {
-            usage.refusals.set(usage.refusals.get() + 1);
+            self.count_refusal(owner);
             return None;
         };
         usage.reserved_bytes.set(usage.reserved_bytes.get() + bytes);
-        Some(MemoryReservation { permit, bytes, usage: usage.clone() })
+        Some(MemoryReservation { _permit: permit, bytes, usage: usage.clone() })
     }
 
     /// Reserves the buffers of a streamed body. Returns `None` if as many are streamed as may be.
@@ -176,9 +171,23 @@
         self.transfers.try_acquire()
     }
 
+    /// Reserves the connection of a request whose body is still arriving. Returns `None` if as many hold connections as may.
+    pub fn reserve_slow_body(&self) -> Option<OwnedSemaphorePermit> {
+        let permit = self.slow_bodies.try_acquire();
+        if permit.is_none() {
+            self.count_refusal(MemoryOwner::Upload);
+        }
+        permit
+    }
+
     /// Returns whether few more bodies may be streamed.
     pub fn transfers_are_scarce(&self) -> bool {
-        self.transfers.available() * SCARCE_TRANSFERS_DIVISOR < self.transfers.total()
+        self.transfers.available() * SCARCE_DIVISOR < self.transfers.total()
+    }
+
+    /// Returns whether few more bodies may hold connections.
+    pub fn slow_bodies_are_scarce(&self) -> bool {
+        self.slow_bodies.available() * SCARCE_DIVISOR < self.slow_bodies.total()
     }
 
     /// Returns reserved bytes and refusals by owner.
@@ -201,6 +210,12 @@
     pub fn reserve_for_other_process(&self, quarters: usize) {
         self.messages.reserve_for_other_process(self.messages.total() * quarters / 4);
         self.transfers.reserve_for_other_process(self.transfers.total() * quarters / 4);
+        self.slow_bodies.reserve_for_other_process(self.slow_bodies.total() * quarters / 4);
+    }
+
+    fn count_refusal(&self, owner: MemoryOwner) {
+        let usage = self.usage_of(owner);
+        usage.refusals.set(usage.refusals.get() + 1);
     }
 
     fn usage_of(&self, owner: MemoryOwner) -> &Rc<Usage> {
--- a/tests/sockets/memory_limit.rs
+++ b/tests/sockets/memory_limit.rs
@@ -33,9 +33,10 @@
     ends: Vec<PlainEnd>,
 }
 
-fn plain_request(gateway: SocketAddr) -> PlainEnd {
+/// Sends a read or a short write.
+fn plain_request(gateway: SocketAddr, class: &str) -> PlainEnd {
     let started_at = Instant::now();
-    let text = with_new_customer(&request("look", PLAIN_BUDGET.as_millis() as u32));
+    let text = with_new_customer(&request(class, PLAIN_BUDGET.as_millis() as u32));
     let status = connect(gateway).try_round_trip(&text).map(|answer| answer.status());
     PlainEnd { status, took: started_at.elapsed() }
 }
@@ -49,7 +50,8 @@
         let mut next_at = Instant::now();
         while next_at < end {
             std::thread::sleep(next_at.saturating_duration_since(Instant::now()));
-            sent.push(std::thread::spawn(move || plain_request(address)));
+            let class = ["look", "buy"][sent.len() % 2];
+            sent.push(std::thread::spawn(move || plain_request(address, class)));
             after_each();
             next_at += PLAIN_INTERVAL;
         }
@@ -125,6 +127,17 @@
     check_crowd(32, 1024, 900, &[HalfHead, HalfBody, UnreadResponse, ManyFields, SmallChunks], 10);
 }
 
+#[test]
+fn half_bodies_leave_connections_to_others_with_256_descriptors() {
+    check_crowd(32, 256, 700, &[SlowClient::HalfBody, SlowClient::SmallChunks], 10);
+}
+
+#[test]
+fn a_mixed_crowd_leaves_connections_to_others_with_256_descriptors() {
+    use SlowClient::{HalfBody, HalfHead, ManyFields, SmallChunks, UnreadResponse};
+    check_crowd(64, 256, 700, &[HalfHead, HalfBody, UnreadResponse, ManyFields, SmallChunks], 10);
+}
+
 /// Memory of two processes of one program, whose code is in memory once.
 fn shared_memory(processes: [&Gateway; 2]) -> u64 {
     let figures = |name| processes.map(|process| process.memory(name).unwrap_or(0));
