Forward accepted writes after a short partition of the leader

Where another gateway took over, it reported them as unknown, though they had not run.

Cause: the lease's end cancels the announcements of writes that are about to be forwarded, but left the writes among those in flight, where nothing takes them out again. Their state was written to the leader's own log before a quorum had it, and spread from there once the partition had healed. A sibling: an announcement that is dropped because another gateway knows a later state left its write in flight, too.

Mend: cancelling an announcement takes its write out of those in flight, in both places, and a later state is fetched. The leader's own log holds `sent` only once a quorum has been told; until then the message carries it. A later leader reads the log of a quorum after the lease has ended, as before: what was forwarded is in it.

--- a/lab/tests/write_queue/main.rs
+++ b/lab/tests/write_queue/main.rs
@@ -80,6 +80,61 @@
     assert!(rejected < pending / 2, "{rejected} of {pending} rejected");
 }
 
+/// No node holds the lease of the branch's record.
+const NO_LEADER: Option<usize> = Some(usize::MAX);
+
+/// Plays a partition of the gateway that has begun to announce queued writes, until its lease ends. Then `next_leader`
+/// forwards the queue. Returns the simulation once the queue is drained, or after a minute.
+fn partition_of_the_leader(seed: u64, partition_ms: u64, next_leader: usize) -> Simulation {
+    let mut simulation = Simulation::new(seed, 3);
+    (simulation.isolated, simulation.leader) = (true, NO_LEADER);
+    simulation.advance_ms(1_500);
+    for i in 0..100u64 {
+        simulation.write((i % 3) as usize, i, i);
+        simulation.advance_ms(20);
+    }
+    simulation.advance_ms(500);
+    (simulation.isolated, simulation.leader) = (false, Some(0));
+    // Until some are forwarded.
+    while simulation.sends_in_window.1 == 0 {
+        simulation.tick_all();
+    }
+    simulation.partitioned = Some(0);
+    simulation.advance_ms(200);
+    simulation.leader = NO_LEADER;
+    simulation.advance_ms(partition_ms);
+    (simulation.partitioned, simulation.leader) = (None, Some(next_leader));
+    let healed_at = simulation.now;
+    while !simulation.is_drained() && simulation.now < healed_at + 60_000 * MS {
+        simulation.tick_all();
+    }
+    simulation.advance_ms(500);
+    simulation
+}
+
+/// The gateway kept the writes that it had announced and not forwarded among those in flight, for ever.
+#[test]
+fn accepted_writes_are_forwarded_after_a_short_partition_of_the_leader() {
+    for seed in 1..=20 {
+        let simulation = partition_of_the_leader(seed, 3_000, 0);
+        simulation.check().unwrap_or_else(|error| panic!("seed {seed}: {error}"));
+    }
+}
+
+/// Another gateway took them for writes that may have run.
+#[test]
+fn writes_announced_in_a_partition_do_not_count_as_sent() {
+    let mut taken_for_sent = 0;
+    for seed in 1..=20 {
+        let simulation = partition_of_the_leader(seed, 3_000, 1);
+        simulation.check().unwrap_or_else(|error| panic!("seed {seed}: {error}"));
+        taken_for_sent += simulation.may_be_repeated.len();
+    }
+    println!("{taken_for_sent} writes of 20 plays");
+    // One a play, whose announcement arrived as the partition began.
+    assert!(taken_for_sent <= 20, "{taken_for_sent} writes of 20 plays");
+}
+
 /// An uplink fails every other second. A branch that counted it as up each time would alternate between queueing,
 /// forwarding and rejecting writes.
 #[test]
--- a/lab/tests/write_queue/simulation.rs
+++ b/lab/tests/write_queue/simulation.rs
@@ -42,6 +42,8 @@
     pub loss: f64,
     pub isolated: bool,
     pub leader: Option<usize>,
+    /// Node whose messages, in both directions, are lost.
+    pub partitioned: Option<usize>,
     /// Customers with a write that is neither accepted nor rejected yet.
     pub customers_waiting: BTreeSet<u64>,
     pub writes: BTreeMap<Dot, ObservedWrite>,
@@ -82,6 +84,7 @@
             loss: 0.02,
             isolated: false,
             leader: None,
+            partitioned: None,
             customers_waiting: BTreeSet::new(),
             writes: BTreeMap::new(),
             may_be_repeated: BTreeSet::new(),
@@ -122,8 +125,9 @@
             match effect {
                 QueueEffect::Send { to, message } => {
                     let copies = 1 + usize::from(self.rng.random_bool(0.02));
+                    let is_cut = [Some(node), Some(usize::from(to))].contains(&self.partitioned);
                     for _ in 0..copies {
-                        if !self.rng.random_bool(self.loss) {
+                        if !self.rng.random_bool(self.loss) && !(is_cut && self.partitioned.is_some()) {
                             let after = self.rng.random_range(200..8 * MS);
                             self.schedule(after, InFlight::Message(usize::from(to), node, message.clone()));
                         }
--- a/src/cluster/write_queue/replica.rs
+++ b/src/cluster/write_queue/replica.rs
@@ -116,6 +116,8 @@
 struct Announcement {
     state: WriteState,
     held_by: BTreeSet<u16>,
+    /// Time at which the state was first announced.
+    started_at: Micros,
     /// Time at which the announcement was last sent.
     sent_at: Micros,
     /// Action to take once a quorum holds the state.
--- a/src/cluster/write_queue/replica/accept.rs
+++ b/src/cluster/write_queue/replica/accept.rs
@@ -173,7 +173,7 @@
                 self.advance(now, token, out);
             }
         }
-        self.on_announcement_held(from, dot, state, out);
+        self.on_announcement_held(now, from, dot, state, out);
     }
 
     /// Resumes pending writes that may have waited for a dependency that has now arrived.
--- a/src/cluster/write_queue/replica/notify.rs
+++ b/src/cluster/write_queue/replica/notify.rs
@@ -1,8 +1,10 @@
 //! Announces state changes of writes until a quorum holds them and, at the lease holder, forwards the next writes.
 
 use super::{AfterAnnouncement, Announcement, QueueEffect, QueueReplica};
+use crate::cluster::write_queue::message::QueueMessage;
 use crate::cluster::write_queue::replay::{ForwardOutcome, ReplayStep};
 use crate::cluster::write_queue::write::{Dot, WriteOutcome, WriteState};
+use crate::cluster::write_queue::write_log::LogEntry;
 use crate::decision::Micros;
 use std::collections::BTreeSet;
 
@@ -12,10 +14,21 @@
 impl QueueReplica {
     /// Announces a new state of a write until a quorum holds it.
     pub(super) fn announce(&mut self, now: Micros, dot: Dot, state: WriteState, out: &mut Vec<QueueEffect>) {
-        self.announce_with_follow_up(now, dot, state, AfterAnnouncement::Nothing, out);
+        let Some(entry) = self.log.get(dot).cloned() else { return };
+        self.log.merge(now, &entry.write, state, entry.accepted_at, entry.first_sent_at);
+        self.start_announcement(now, dot, state, AfterAnnouncement::Nothing, out);
+    }
+
+    /// Announces that a write is about to be forwarded, and forwards it once a quorum holds that. This gateway's own log
+    /// holds it only then: if the lease ends before, the write is as it was wherever the announcement did not arrive.
+    fn announce_forward(&mut self, now: Micros, dot: Dot, attempt: u16, out: &mut Vec<QueueEffect>) {
+        let Some(entry) = self.log.get(dot) else { return };
+        let may_have_been_executed = matches!(entry.state, WriteState::Sent(_));
+        let follow_up = AfterAnnouncement::Forward { may_have_been_executed };
+        self.start_announcement(now, dot, WriteState::Sent(attempt), follow_up, out);
     }
 
-    fn announce_with_follow_up(
+    fn start_announcement(
         &mut self,
         now: Micros,
         dot: Dot,
@@ -23,30 +36,29 @@
         follow_up: AfterAnnouncement,
         out: &mut Vec<QueueEffect>,
     ) {
-        let Some(entry) = self.log.get(dot).cloned() else { return };
-        let first_sent_at = match state {
-            WriteState::Sent(_) => Some(now),
-            WriteState::Pending(_) | WriteState::Ended(_) => entry.first_sent_at,
-        };
-        self.log.merge(now, &entry.write, state, entry.accepted_at, first_sent_at);
         let held_by = BTreeSet::from([self.own_seat]);
-        self.announcements.insert(dot, Announcement { state, held_by, sent_at: now, follow_up });
+        let announcement = Announcement { state, held_by, started_at: now, sent_at: now, follow_up };
+        self.announcements.insert(dot, announcement);
         self.send_announcement(now, dot, out);
-        self.conclude_announcement(dot, out);
+        self.conclude_announcement(now, dot, out);
     }
 
     fn send_announcement(&self, now: Micros, dot: Dot, out: &mut Vec<QueueEffect>) {
-        let Some(message) = self.replicate_message(now, dot) else { return };
-        let held_by = self.announcements.get(&dot).map(|announcement| &announcement.held_by);
-        for to in self.peers() {
-            if held_by.is_none_or(|held_by| !held_by.contains(&to)) {
-                out.push(QueueEffect::Send { to, message: message.clone() });
-            }
+        let Some(announcement) = self.announcements.get(&dot) else { return };
+        let Some(mut replicated) = self.replicated_write(now, dot) else { return };
+        replicated.state = replicated.state.merged(announcement.state);
+        if matches!(announcement.state, WriteState::Sent(_)) {
+            let since_start = now - announcement.started_at;
+            replicated.since_first_send = replicated.since_first_send.max(Some(since_start));
+        }
+        for to in self.peers().into_iter().filter(|to| !announcement.held_by.contains(to)) {
+            out.push(QueueEffect::Send { to, message: QueueMessage::Replicate(replicated.clone()) });
         }
     }
 
     pub(super) fn on_announcement_held(
         &mut self,
+        now: Micros,
         by: u16,
         dot: Dot,
         state: WriteState,
@@ -54,30 +66,35 @@
     ) {
         let Some(announcement) = self.announcements.get_mut(&dot) else { return };
         if state.rank() > announcement.state.rank() {
-            // Another gateway knows a later state.
+            // Another gateway knows a later state, which decides what becomes of the write.
             self.announcements.remove(&dot);
+            self.replay.cancel_in_flight(dot);
+            out.push(QueueEffect::Send { to: by, message: QueueMessage::Fetch(vec![dot]) });
             return;
         }
         if state == announcement.state {
             announcement.held_by.insert(by);
-            self.conclude_announcement(dot, out);
+            self.conclude_announcement(now, dot, out);
         }
     }
 
     /// Ends an announcement that a quorum holds and takes its follow-up action.
-    fn conclude_announcement(&mut self, dot: Dot, out: &mut Vec<QueueEffect>) {
+    fn conclude_announcement(&mut self, now: Micros, dot: Dot, out: &mut Vec<QueueEffect>) {
         let quorum = self.settings.quorum();
         let Some(announcement) = self.announcements.get(&dot) else { return };
         if announcement.held_by.len() < quorum {
             return;
         }
-        let (state, follow_up) = (announcement.state, announcement.follow_up);
-        self.announcements.remove(&dot);
+        let Some(Announcement { state, started_at, follow_up, .. }) = self.announcements.remove(&dot) else {
+            return;
+        };
         let (WriteState::Sent(attempt), AfterAnnouncement::Forward { may_have_been_executed }) =
             (state, follow_up)
         else {
             return;
         };
+        let Some(LogEntry { write, accepted_at, .. }) = self.log.get(dot).cloned() else { return };
+        self.log.merge(now, &write, state, accepted_at, Some(started_at));
         let Some(entry) = self.log.get(dot) else { return };
         self.counts.forwarded += 1;
         let first_sent_at = entry.first_sent_at.filter(|_| may_have_been_executed);
@@ -98,7 +115,10 @@
 
     /// Cancels the announcements of writes that were to be forwarded once a quorum held them.
     pub(super) fn cancel_forwards(&mut self) {
-        self.announcements.retain(|_, announcement| announcement.follow_up == AfterAnnouncement::Nothing);
+        let is_forward = |announcement: &Announcement| announcement.follow_up != AfterAnnouncement::Nothing;
+        for (dot, _) in self.announcements.extract_if(.., |_, announcement| is_forward(announcement)) {
+            self.replay.cancel_in_flight(dot);
+        }
     }
 
     /// Called when a write was not forwarded because the lease of the branch's record may have ended. Other
@@ -158,12 +178,7 @@
         let steps = self.replay.next_steps(now, &self.log, &self.settings, was_never_accepted);
         for step in steps {
             match step {
-                ReplayStep::Forward { dot, attempt } => {
-                    let may_have_been_executed =
-                        self.log.get(dot).is_some_and(|entry| matches!(entry.state, WriteState::Sent(_)));
-                    let follow_up = AfterAnnouncement::Forward { may_have_been_executed };
-                    self.announce_with_follow_up(now, dot, WriteState::Sent(attempt), follow_up, out);
-                }
+                ReplayStep::Forward { dot, attempt } => self.announce_forward(now, dot, attempt, out),
                 ReplayStep::End { dot, outcome } => {
                     self.count_not_completed(dot, outcome, out);
                     self.announce(now, dot, WriteState::Ended(outcome), out);
--- a/src/cluster/write_queue/replica/store.rs
+++ b/src/cluster/write_queue/replica/store.rs
@@ -71,13 +71,18 @@
 
     /// Returns the message that replicates a write, or `None` if the write is not held.
     pub(super) fn replicate_message(&self, now: Micros, dot: Dot) -> Option<QueueMessage> {
+        self.replicated_write(now, dot).map(QueueMessage::Replicate)
+    }
+
+    /// Returns a write as it is sent to other gateways, or `None` if it is not held.
+    pub(super) fn replicated_write(&self, now: Micros, dot: Dot) -> Option<ReplicatedWrite> {
         let entry = self.log.get(dot)?;
-        Some(QueueMessage::Replicate(ReplicatedWrite {
+        Some(ReplicatedWrite {
             write: Box::new(entry.write.clone()),
             state: entry.state,
             age: now - entry.accepted_at,
             since_first_send: entry.first_sent_at.map(|at| now - at),
-        }))
+        })
     }
 
     pub(super) fn is_due(now: Micros, sent_at: Micros) -> bool {
