Keep an accepted write that a repeat can't confirm

What callers saw (review, by reading alone): a client whose 202 was lost comes again with the same key, at a gateway that can't reach the others for 0.4 s: the write that was accepted is withdrawn for all, and never runs. Shown now under virtual time, and a sibling with it: the client left its first gateway before that had its votes, another gateway accepted the repeat, and the first withdrew the write 0.4 s after its start.

Cause: a write without its votes in time was withdrawn and its client refused, whether or not another try of the same write could have been accepted. Only the gateway that decides knows of its own votes alone.

Mend: a write with a key that others may hold is not withdrawn. Its client is told that it failed and may have run (502), and nothing forwards it besides the queue. So is one whose decision takes longer than 0.6 s, as on a slow disk: it was handled as usual before, while the queue could still forward it. A write without a key is withdrawn as before, as no repeat finds it.

--- a/lab/tests/disk/simulation.rs
+++ b/lab/tests/disk/simulation.rs
@@ -3,7 +3,9 @@
 //! all at once.
 
 use quota_gateway::cluster::ledger::LedgerSettings;
-use quota_gateway::cluster::write_queue::{Dot, ForwardOutcome, WriteQueueSettings, WriteRequest};
+use quota_gateway::cluster::write_queue::{
+    Acceptance, Dot, ForwardOutcome, WriteQueueSettings, WriteRequest,
+};
 use quota_gateway::cluster::{
     ClusterNode, ClusterNotice, Effect, Event, MachineId, MemberMetadata, Micros, Settings, StorageWrite,
     WriteQueueEffect, CAPABILITY_LEDGER,
@@ -50,6 +52,17 @@
     pub executions: Vec<u64>,
 }
 
+impl ObservedWrite {
+    /// Records what the client was told. A write that is not confirmed may run.
+    pub fn decide(&mut self, now: u64, acceptance: Acceptance) {
+        match acceptance {
+            Acceptance::Accepted => self.accepted = self.accepted.or(Some(now)),
+            Acceptance::Rejected => self.rejected = true,
+            Acceptance::Unconfirmed => {}
+        }
+    }
+}
+
 pub enum InFlight {
     Datagram(usize, usize, Vec<u8>),
     /// End of a forwarded write: node, process, write, attempt, outcome.
@@ -232,9 +245,9 @@
 
     pub fn run(&mut self, node: usize, effect: WriteQueueEffect) {
         match effect {
-            WriteQueueEffect::AcceptanceDecided { dot, accepted: is_accepted } => {
+            WriteQueueEffect::AcceptanceDecided { dot, acceptance } => {
                 if let Some(observed) = self.writes.get_mut(&dot) {
-                    (observed.accepted, observed.rejected) = (is_accepted.then_some(self.now), !is_accepted);
+                    observed.decide(self.now, acceptance);
                     self.customers_waiting.remove(&observed.customer);
                 }
             }
--- a/lab/tests/write_queue/main.rs
+++ b/lab/tests/write_queue/main.rs
@@ -135,6 +135,57 @@
     assert!(taken_for_sent <= 20, "{taken_for_sent} writes of 20 plays");
 }
 
+/// A repeat at a gateway that could not reach the others withdrew the write for all.
+#[test]
+fn a_repeat_at_a_partitioned_gateway_does_not_withdraw_an_accepted_write() {
+    for seed in 1..=20 {
+        let mut simulation = Simulation::new(seed, 3);
+        (simulation.isolated, simulation.leader) = (true, NO_LEADER);
+        simulation.advance_ms(1_500);
+        // Each gateway holds each write.
+        simulation.loss = 0.0;
+        let dots: Vec<Option<Dot>> = (1..=20)
+            .map(|customer| simulation.offer((customer % 3) as usize, customer, customer, 7))
+            .collect();
+        simulation.advance_ms(400);
+        assert!(simulation.writes.values().all(|write| write.accepted.is_some()), "seed {seed}");
+        simulation.partitioned = Some(0);
+        for customer in 1..=20 {
+            let again = simulation.offer(0, customer, customer, 7);
+            assert_eq!(again, dots[customer as usize - 1], "seed {seed}: the repeat is the same write");
+        }
+        simulation.advance_ms(1_000);
+        assert!(simulation.writes.values().all(|write| !write.rejected), "seed {seed}: a repeat was refused");
+        (simulation.partitioned, simulation.isolated, simulation.leader) = (None, false, Some(1));
+        simulation.advance_ms(10_000);
+        simulation.check().unwrap_or_else(|error| panic!("seed {seed}: {error}"));
+        assert!(simulation.writes.values().all(|write| write.executions.len() == 1), "seed {seed}");
+    }
+}
+
+/// The gateway that a client left before its write had its votes withdrew what another had accepted for it.
+#[test]
+fn a_write_accepted_for_a_repeat_is_not_withdrawn_by_the_gateway_of_its_first_try() {
+    for seed in 1..=20 {
+        let mut simulation = Simulation::new(seed, 3);
+        (simulation.isolated, simulation.leader) = (true, NO_LEADER);
+        simulation.advance_ms(1_500);
+        simulation.loss = 0.0;
+        let dot = simulation.offer(0, 1, 1, 7).expect("the queue has space");
+        // Until another gateway holds it; the votes for it are lost.
+        while simulation.nodes[1].as_ref().is_some_and(|replica| replica.log().get(dot).is_none()) {
+            simulation.step();
+        }
+        simulation.partitioned = Some(0);
+        assert_eq!(simulation.offer(1, 1, 1, 7), Some(dot), "seed {seed}: the repeat is the same write");
+        simulation.advance_ms(1_000);
+        assert!(simulation.writes[&dot].accepted.is_some(), "seed {seed}: the repeat is accepted");
+        (simulation.partitioned, simulation.isolated, simulation.leader) = (None, false, Some(2));
+        simulation.advance_ms(10_000);
+        simulation.check().unwrap_or_else(|error| panic!("seed {seed}: {error}"));
+    }
+}
+
 /// An uplink fails every other second. A branch that counted it as up each time would alternate between queueing,
 /// forwarding and rejecting writes.
 #[test]
--- a/lab/tests/write_queue/simulation.rs
+++ b/lab/tests/write_queue/simulation.rs
@@ -4,8 +4,8 @@
 //! backends is recorded.
 
 use quota_gateway::cluster::write_queue::{
-    Dot, ForwardOutcome, QueueEffect, QueueMessage, QueueReplica, WriteOutcome, WriteQueueSettings,
-    WriteRequest, WriteState, WriteStatus,
+    Acceptance, Dot, ForwardOutcome, QueueEffect, QueueMessage, QueueReplica, WriteOutcome,
+    WriteQueueSettings, WriteRequest, WriteState, WriteStatus,
 };
 use quota_gateway::cluster::Micros;
 use rand::{RngExt, SeedableRng};
@@ -26,6 +26,17 @@
     pub executions: Vec<u64>,
 }
 
+impl ObservedWrite {
+    /// Records what the client was told. A write that is not confirmed may run.
+    pub fn decide(&mut self, now: u64, acceptance: Acceptance) {
+        match acceptance {
+            Acceptance::Accepted => self.accepted = self.accepted.or(Some(now)),
+            Acceptance::Rejected => self.rejected = true,
+            Acceptance::Unconfirmed => {}
+        }
+    }
+}
+
 pub enum InFlight {
     Message(usize, usize, QueueMessage),
     /// End of a forwarded write: node, process, write, attempt, outcome.
@@ -125,18 +136,17 @@
             match effect {
                 QueueEffect::Send { to, message } => {
                     let copies = 1 + usize::from(self.rng.random_bool(0.02));
-                    let is_cut = [Some(node), Some(usize::from(to))].contains(&self.partitioned);
                     for _ in 0..copies {
-                        if !self.rng.random_bool(self.loss) && !(is_cut && self.partitioned.is_some()) {
+                        if !self.rng.random_bool(self.loss) {
                             let after = self.rng.random_range(200..8 * MS);
                             self.schedule(after, InFlight::Message(usize::from(to), node, message.clone()));
                         }
                     }
                 }
-                QueueEffect::AcceptanceDecided { dot, accepted: is_accepted } => {
+                QueueEffect::AcceptanceDecided { dot, acceptance } => {
                     let now = self.now;
                     if let Some(observed) = self.writes.get_mut(&dot) {
-                        (observed.accepted, observed.rejected) = (is_accepted.then_some(now), !is_accepted);
+                        observed.decide(now, acceptance);
                         self.customers_waiting.remove(&observed.customer);
                     }
                 }
@@ -175,28 +185,35 @@
         self.schedule(after, InFlight::Forward(node, self.processes[node], dot, attempt, outcome));
     }
 
+    /// Delivers the next message.
+    pub fn step(&mut self) {
+        let Some(entry) = self.network.first_entry() else { return self.tick_all() };
+        self.now = entry.key().0;
+        let (now, mut effects) = (Micros(self.now), Vec::new());
+        let (to, effects) = match entry.remove() {
+            InFlight::Message(to, from, message) => {
+                let is_cut = self.partitioned.is_some_and(|node| node == to || node == from);
+                let replica = self.nodes[to].as_mut().filter(|_| !is_cut);
+                replica
+                    .into_iter()
+                    .for_each(|replica| replica.on_message(now, from as u16, message.clone(), &mut effects));
+                (to, effects)
+            }
+            InFlight::Forward(node, process, dot, attempt, outcome) => {
+                let replica = self.nodes[node].as_mut().filter(|_| self.processes[node] == process);
+                replica
+                    .into_iter()
+                    .for_each(|replica| replica.on_forwarded(now, dot, attempt, outcome, &mut effects));
+                (node, effects)
+            }
+        };
+        self.perform(to, effects);
+    }
+
     pub fn tick_all(&mut self) {
         let until = self.now + TICK;
-        while let Some(entry) = self.network.first_entry().filter(|e| e.key().0 <= until) {
-            self.now = entry.key().0;
-            let (now, mut effects) = (Micros(self.now), Vec::new());
-            let (to, effects) = match entry.remove() {
-                InFlight::Message(to, from, message) => {
-                    let replica = self.nodes[to].as_mut();
-                    replica.into_iter().for_each(|replica| {
-                        replica.on_message(now, from as u16, message.clone(), &mut effects)
-                    });
-                    (to, effects)
-                }
-                InFlight::Forward(node, process, dot, attempt, outcome) => {
-                    let replica = self.nodes[node].as_mut().filter(|_| self.processes[node] == process);
-                    replica
-                        .into_iter()
-                        .for_each(|replica| replica.on_forwarded(now, dot, attempt, outcome, &mut effects));
-                    (node, effects)
-                }
-            };
-            self.perform(to, effects);
+        while self.network.first_key_value().is_some_and(|(key, _)| key.0 <= until) {
+            self.step();
         }
         self.now = until;
         let running: Vec<usize> = (0..self.nodes.len()).filter(|n| self.nodes[*n].is_some()).collect();
@@ -224,22 +241,24 @@
         if self.customers_waiting.contains(&customer) {
             return false;
         }
-        let (now, mut effects) = (Micros(self.now), Vec::new());
-        let Some(replica) = self.nodes[node].as_mut() else { return false };
+        let Some(replica) = self.nodes[node].as_ref() else { return false };
         if !replica.should_queue(customer, object) {
             return false;
         }
-        let request = WriteRequest { customer, object, class: 0, key: 0, payload: vec![7; 40] };
-        let Some(dot) = replica.accept(now, request, &mut effects) else {
-            return false;
-        };
+        self.offer(node, customer, object, 0).is_some()
+    }
+
+    /// Offers a write to a gateway that queues writes. Returns its dot, which a repeat with the same key shares.
+    pub fn offer(&mut self, node: usize, customer: u64, object: u64, key: u64) -> Option<Dot> {
+        let (now, mut effects) = (Micros(self.now), Vec::new());
+        let request = WriteRequest { customer, object, class: 0, key, payload: vec![7; 40] };
+        let dot = self.nodes[node].as_mut()?.accept(now, request, &mut effects)?;
         self.customers_waiting.insert(customer);
-        self.writes.insert(
-            dot,
-            ObservedWrite { customer, object, requested_at: self.now, ..ObservedWrite::default() },
-        );
+        let requested_at = self.now;
+        let observed = ObservedWrite { customer, object, requested_at, ..ObservedWrite::default() };
+        self.writes.entry(dot).or_insert(observed);
         self.perform(node, effects);
-        true
+        Some(dot)
     }
 
     pub fn status(&self, dot: Dot) -> Option<WriteState> {
--- a/src/cluster/event.rs
+++ b/src/cluster/event.rs
@@ -6,7 +6,7 @@
 use crate::cluster::quota_lease::seat_lease::QuotaShares;
 use crate::cluster::rollout::{RolloutKey, RolloutNotice, RuleSet};
 use crate::cluster::storage::StorageWrite;
-use crate::cluster::write_queue::{Dot, Write, WriteOutcome};
+use crate::cluster::write_queue::{Acceptance, Dot, Write, WriteOutcome};
 use crate::decision::Micros;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -98,7 +98,7 @@
         /// Dot of the write.
         dot: Dot,
         /// Whether the write is accepted.
-        accepted: bool,
+        acceptance: Acceptance,
     },
     /// Forward a write to a backend.
     Forward {
--- a/src/cluster/write_queue/mod.rs
+++ b/src/cluster/write_queue/mod.rs
@@ -29,5 +29,5 @@
 pub use replica::{QueueCounts, QueueEffect, QueueReplica, WriteStatus};
 pub use settings::WriteQueueSettings;
 pub use uplink::UplinkMonitor;
-pub use write::{Dot, ParseDotError, Write, WriteOutcome, WriteRequest, WriteState};
+pub use write::{Acceptance, Dot, ParseDotError, Write, WriteOutcome, WriteRequest, WriteState};
 pub use write_log::{LogEntry, WriteLog};
--- a/src/cluster/write_queue/replica.rs
+++ b/src/cluster/write_queue/replica.rs
@@ -11,7 +11,7 @@
 use super::replay::Replay;
 use super::settings::WriteQueueSettings;
 use super::uplink::UplinkMonitor;
-use super::write::{Dot, Write, WriteOutcome, WriteState};
+use super::write::{Acceptance, Dot, Write, WriteOutcome, WriteState};
 use super::write_log::{LogEntry, WriteLog};
 use crate::decision::Micros;
 use std::collections::{BTreeMap, BTreeSet};
@@ -37,12 +37,12 @@
         /// Message to send.
         message: QueueMessage,
     },
-    /// A write submitted at this gateway was accepted or rejected.
+    /// It is decided whether a write submitted at this gateway is accepted.
     AcceptanceDecided {
         /// Dot of the write.
         dot: Dot,
-        /// Whether the write was accepted.
-        accepted: bool,
+        /// Whether the write is accepted.
+        acceptance: Acceptance,
     },
     /// Forward a write to a backend.
     Forward {
@@ -84,7 +84,7 @@
 pub struct QueueCounts {
     /// Writes accepted at this gateway.
     pub accepted: u64,
-    /// Writes rejected at this gateway for lack of votes or capacity.
+    /// Writes rejected at this gateway for lack of votes or capacity, or not confirmed for lack of votes.
     pub rejected: u64,
     /// Writes forwarded by this gateway.
     pub forwarded: u64,
--- a/src/cluster/write_queue/replica/accept.rs
+++ b/src/cluster/write_queue/replica/accept.rs
@@ -7,13 +7,12 @@
 use super::{Heads, PendingAccept, QueueEffect, QueueReplica};
 use crate::cluster::write_queue::message::{QueueMessage, ReplicatedWrite};
 use crate::cluster::write_queue::write::{
-    Dot, Write, WriteOutcome, WriteRequest, WriteState, MAX_DEPENDENCIES, MAX_WRITE_BYTES,
+    Acceptance, Dot, Write, WriteOutcome, WriteRequest, WriteState, MAX_DEPENDENCIES, MAX_WRITE_BYTES,
 };
 use crate::decision::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Time after which a write that a quorum has not voted for is rejected, as a gateway without a branch
-/// rejects it.
+/// Time within which a quorum has to vote for a write.
 const ACCEPT_TIMEOUT: Micros = Micros(400_000);
 /// Maximum number of writes that wait for votes at once.
 const MAX_PENDING_ACCEPTS: usize = 500;
@@ -99,7 +98,7 @@
             let dot = pending.write.dot;
             self.pending_accepts.remove(&token);
             self.counts.accepted += 1;
-            out.push(QueueEffect::AcceptanceDecided { dot, accepted: true });
+            out.push(QueueEffect::AcceptanceDecided { dot, acceptance: Acceptance::Accepted });
         }
     }
 
@@ -144,14 +143,32 @@
         true
     }
 
-    /// Rejects a pending write and returns its dot.
-    fn reject(&mut self, token: u64, out: &mut Vec<QueueEffect>) -> Option<Dot> {
+    /// Rejects a pending write.
+    fn reject(&mut self, token: u64, out: &mut Vec<QueueEffect>) {
+        self.decide(token, Acceptance::Rejected, out);
+    }
+
+    /// Ends the wait for votes of a write that is not accepted, and returns its dot.
+    fn decide(&mut self, token: u64, acceptance: Acceptance, out: &mut Vec<QueueEffect>) -> Option<Dot> {
         let dot = self.pending_accepts.remove(&token)?.write.dot;
         self.counts.rejected += 1;
-        out.push(QueueEffect::AcceptanceDecided { dot, accepted: false });
+        out.push(QueueEffect::AcceptanceDecided { dot, acceptance });
         Some(dot)
     }
 
+    /// Ends the wait of a write that has not got its votes in time.
+    fn time_out(&mut self, now: Micros, token: u64, out: &mut Vec<QueueEffect>) {
+        let Some(pending) = self.pending_accepts.get(&token) else { return };
+        // Only a write with a key is found again: its repeat may have been accepted, here or at another gateway.
+        if pending.held_by.is_some() && pending.write.key > 0 {
+            self.decide(token, Acceptance::Unconfirmed, out);
+        } else if let Some(dot) = self.decide(token, Acceptance::Rejected, out) {
+            // Some replicas may hold the write. It must not be forwarded, as its client is told that it was
+            // not accepted and may retry.
+            self.announce(now, dot, WriteState::Ended(WriteOutcome::Expired), out);
+        }
+    }
+
     /// Called when another gateway that has a vote holds a write in this state.
     pub(super) fn on_acknowledge(
         &mut self,
@@ -166,7 +183,7 @@
             matching.and_then(|(token, pending)| Some((*token, pending.held_by.as_mut()?)))
         {
             if state == WriteState::Ended(WriteOutcome::Expired) {
-                // The write was withdrawn in the meantime.
+                // The write expired or was withdrawn in the meantime.
                 self.reject(token, out);
             } else {
                 held_by.insert(from);
@@ -185,17 +202,13 @@
         }
     }
 
-    /// Rejects writes that have waited longer than `ACCEPT_TIMEOUT` and resends unanswered messages.
+    /// Ends the wait of writes that have waited longer than `ACCEPT_TIMEOUT` and resends unanswered messages.
     pub(super) fn tick_accepts(&mut self, now: Micros, out: &mut Vec<QueueEffect>) {
         let is_late = |pending: &PendingAccept| now - pending.started_at >= ACCEPT_TIMEOUT;
         let late = self.pending_accepts.iter().filter(|(_, pending)| is_late(pending));
         let late: Vec<u64> = late.map(|(token, _)| *token).collect();
         for token in late {
-            if let Some(dot) = self.reject(token, out) {
-                // Some replicas may hold the write. It must not be forwarded, as its client is told that it was
-                // not accepted and may retry.
-                self.announce(now, dot, WriteState::Ended(WriteOutcome::Expired), out);
-            }
+            self.time_out(now, token, out);
         }
         let awaiting_heads = self.pending_accepts.iter();
         let awaiting_heads = awaiting_heads
--- a/src/cluster/write_queue/write.rs
+++ b/src/cluster/write_queue/write.rs
@@ -74,6 +74,17 @@
     pub payload: Vec<u8>,
 }
 
+/// Whether a submitted write is accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Acceptance {
+    /// A quorum holds the write.
+    Accepted,
+    /// The write is not accepted and will not be forwarded.
+    Rejected,
+    /// Some gateways may hold the write, and one of them may have accepted it for a repeat. It may be forwarded.
+    Unconfirmed,
+}
+
 /// A write in the queue.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Write {
--- a/src/cluster/write_queue_node.rs
+++ b/src/cluster/write_queue_node.rs
@@ -175,8 +175,8 @@
                 let may_have_been_executed = first_sent_at.is_some();
                 WriteQueueEffect::Forward { write: Box::new(write), attempt, may_have_been_executed }
             }
-            QueueEffect::AcceptanceDecided { dot, accepted } => {
-                WriteQueueEffect::AcceptanceDecided { dot, accepted }
+            QueueEffect::AcceptanceDecided { dot, acceptance } => {
+                WriteQueueEffect::AcceptanceDecided { dot, acceptance }
             }
             QueueEffect::NotCompleted { dot, outcome } => WriteQueueEffect::NotCompleted { dot, outcome },
             QueueEffect::IsolationChanged { isolated, since_response } => {
--- a/src/proxy/cluster_transport/mod.rs
+++ b/src/proxy/cluster_transport/mod.rs
@@ -22,11 +22,11 @@
 #[cfg(test)]
 mod tests;
 pub(crate) mod write_queue_sender;
-mod writes;
+pub(crate) mod writes;
 
 use crate::cluster::ledger::{AbandonedRequest, ClaimId, ClaimOutcome};
 use crate::cluster::rollout::RolloutKey;
-use crate::cluster::write_queue::Dot;
+use crate::cluster::write_queue::{Acceptance, Dot};
 use crate::cluster::{ActiveRouting, ClusterNode, Effect, Event, QuotaShares, StorageWrite};
 use crate::decision::QuotaLease;
 use crate::proxy::control_plane::config::ClusterConfig;
@@ -92,7 +92,7 @@
     /// Sender of the rollout's key, while a caller waits for a rollout to start; `None` is sent if it can't start.
     rollout_start: RefCell<Option<oneshot::Sender<Option<RolloutKey>>>>,
     /// Callers that wait for writes to be accepted or rejected.
-    write_decisions: RefCell<HashMap<Dot, Vec<oneshot::Sender<bool>>>>,
+    write_decisions: RefCell<HashMap<Dot, Vec<oneshot::Sender<Acceptance>>>>,
     senders: RequestSenders,
     /// Number of abandoned requests that this gateway finished.
     abandoned_finished: Cell<u64>,
--- a/src/proxy/cluster_transport/write_queue_sender.rs
+++ b/src/proxy/cluster_transport/write_queue_sender.rs
@@ -6,9 +6,10 @@
 use super::outcome_recorder::OutcomeRecorder;
 use super::queued_write::QueuedWrite;
 use super::serialized_request::{deserialize, serialize};
+use super::writes::OfferedWrite;
 use super::ClusterTransport;
 use crate::cluster::ledger::{ClaimOutcome, RecordId};
-use crate::cluster::write_queue::{Dot, ForwardOutcome, WriteOutcome, WriteRequest, WriteState, WriteStatus};
+use crate::cluster::write_queue::{ForwardOutcome, WriteOutcome, WriteRequest, WriteState, WriteStatus};
 use crate::decision::Arrival;
 use crate::proxy::downstream::context::ProxyContext;
 use crate::proxy::downstream::dispatch::dispatch;
@@ -33,45 +34,44 @@
 const UPLINK_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum wait for cancelled attempts to end.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time-out for the votes on a write. The write queue itself gives up slightly earlier.
-const ACCEPT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Offers a request to the branch's write queue. The queue accepts it while the branch is isolated, or while earlier
-/// writes of the same customer or object are pending. Returns the write's dot, or `None` if the request is to be
-/// handled as usual.
-pub async fn accept_write(
+/// writes of the same customer or object are pending. A request that is not queued is to be handled as usual.
+pub async fn offer_write(
     cluster: &Rc<ClusterTransport>,
     head: &RequestHead,
     class: &str,
     uri: &Uri,
     headers: &HeaderMap,
     body: &Bytes,
-) -> Option<Dot> {
+) -> OfferedWrite {
     let object = xxh3_64(uri.path_and_query().map_or("/", |path| path.as_str()).as_bytes());
     let customer = head.arrival.customer.0;
     if !cluster.should_queue_write(class, customer, object) {
-        return None;
+        return OfferedWrite::NotQueued;
     }
+    let queue_key = head.idempotency_key.map_or(0, |key| key ^ xxh3_64(body));
     if let Some(key) = head.idempotency_key {
-        let id = RecordId { customer, key };
-        let outcome = cluster.claim(id, 0, None)?.outcome().await;
-        if may_have_been_executed_before(&outcome, head.arrival.is_retry) {
-            return None;
+        let Some(claim) = cluster.claim(RecordId { customer, key }, 0, None) else {
+            return OfferedWrite::NotQueued;
+        };
+        let outcome = claim.outcome().await;
+        let is_new_repeat = head.arrival.is_retry && !cluster.holds_write(customer, queue_key);
+        if may_have_been_executed_before(&outcome, is_new_repeat) {
+            return OfferedWrite::NotQueued;
         }
     }
-    let payload = serialize(&Method::POST, uri, headers, body)?;
-    let key = head.idempotency_key.map_or(0, |key| key ^ xxh3_64(body));
+    let Some(payload) = serialize(&Method::POST, uri, headers, body) else { return OfferedWrite::NotQueued };
     let class = head.arrival.class.0.min(usize::from(u16::MAX)) as u16;
-    let request = WriteRequest { customer, object, class, key, payload };
-    timeout(ACCEPT_TIMEOUT, cluster.accept_write(request)).await.ok().flatten()
+    cluster.offer_write(WriteRequest { customer, object, class, key: queue_key, payload }).await
 }
 
 /// Whether the request may be running at another gateway, or may have run there before the uplink failed. Such a
 /// request must not be queued, because it could run twice.
-fn may_have_been_executed_before(outcome: &ClaimOutcome, is_retry: bool) -> bool {
+fn may_have_been_executed_before(outcome: &ClaimOutcome, is_new_repeat: bool) -> bool {
     match outcome {
         ClaimOutcome::Acquired { existed: false, .. } => false,
-        ClaimOutcome::Unavailable => is_retry,
+        ClaimOutcome::Unavailable => is_new_repeat,
         _ => true,
     }
 }
--- a/src/proxy/cluster_transport/writes.rs
+++ b/src/proxy/cluster_transport/writes.rs
@@ -2,11 +2,27 @@
 
 use super::queued_write::QueuedWrite;
 use super::ClusterTransport;
-use crate::cluster::write_queue::{Dot, ForwardOutcome, WriteRequest, WriteStatus};
+use crate::cluster::write_queue::{Acceptance, Dot, ForwardOutcome, WriteRequest, WriteStatus};
 use crate::cluster::{ClusterNode, Micros, WriteQueueEffect};
+use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 use tracing::{info, warn};
 
+/// Time-out for the votes on a write. The write queue itself gives up slightly earlier.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// What became of a write that was offered to the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OfferedWrite {
+    /// The queue has accepted it under this dot.
+    Accepted(Dot),
+    /// The queue has not taken it and will not forward it.
+    NotQueued,
+    /// The queue may hold and forward it.
+    Unconfirmed,
+}
+
 impl ClusterTransport {
     /// Whether this gateway belongs to a branch that accepts writes.
     pub fn belongs_to_branch(&self) -> bool {
@@ -21,17 +37,31 @@
         replica.is_some_and(|replica| replica.should_queue(customer, object) && is_queueable())
     }
 
-    /// Adds a write to the queue. Returns the write's dot once it is accepted, or `None` if it is rejected.
-    pub async fn accept_write(&self, request: WriteRequest) -> Option<Dot> {
+    /// Returns whether this gateway holds a write of this customer with this key.
+    pub fn holds_write(&self, customer: u64, key: u64) -> bool {
+        let node = self.node.borrow();
+        let queue = node.as_ref().and_then(ClusterNode::write_queue);
+        queue.is_some_and(|queue| queue.replica().log().find_by_key(customer, key).is_some())
+    }
+
+    /// Offers a write to the queue, and returns once it is decided whether the queue accepts it.
+    pub async fn offer_write(&self, request: WriteRequest) -> OfferedWrite {
         let (decision_sender, decision) = oneshot::channel();
         let mut effects = Vec::new();
         let now = self.clock.now();
-        let dot = self.node.borrow_mut().as_mut()?.accept_write(now, request, &mut effects)?;
+        let accept = |node: &mut ClusterNode| node.accept_write(now, request, &mut effects);
+        let Some(dot) = self.node.borrow_mut().as_mut().and_then(accept) else {
+            return OfferedWrite::NotQueued;
+        };
         self.write_decisions.borrow_mut().entry(dot).or_default().push(decision_sender);
         self.perform(effects);
-        match decision.await {
-            Ok(true) => Some(dot),
-            Ok(false) | Err(_) => None,
+        match timeout(ACCEPT_TIMEOUT, decision).await {
+            Ok(Ok(Acceptance::Accepted)) => OfferedWrite::Accepted(dot),
+            Ok(Ok(Acceptance::Rejected)) => OfferedWrite::NotQueued,
+            Ok(Ok(Acceptance::Unconfirmed) | Err(_)) | Err(_) => {
+                warn!(%dot, "a write may be held by the queue and has too few votes");
+                OfferedWrite::Unconfirmed
+            }
         }
     }
 
@@ -49,7 +79,7 @@
 
     pub(super) fn perform_write_queue(&self, effect: WriteQueueEffect) {
         match effect {
-            WriteQueueEffect::AcceptanceDecided { dot, accepted } => self.resolve_write(dot, accepted),
+            WriteQueueEffect::AcceptanceDecided { dot, acceptance } => self.resolve_write(dot, acceptance),
             WriteQueueEffect::Forward { write, attempt, may_have_been_executed } => {
                 self.queue_forward(QueuedWrite { write, attempt, may_have_been_executed });
             }
@@ -63,10 +93,10 @@
         }
     }
 
-    fn resolve_write(&self, dot: Dot, accepted: bool) {
+    fn resolve_write(&self, dot: Dot, acceptance: Acceptance) {
         for decision_sender in self.write_decisions.borrow_mut().remove(&dot).into_iter().flatten() {
             // The caller may have stopped waiting; its client can retry with the same idempotency key.
-            let _ = decision_sender.send(accepted);
+            let _ = decision_sender.send(acceptance);
         }
     }
 
--- a/src/proxy/downstream/request.rs
+++ b/src/proxy/downstream/request.rs
@@ -16,7 +16,8 @@
 use crate::proxy::admin::metrics::{InFlightRequest, RequestResult};
 use crate::proxy::cluster_transport::ledger_request::{serve_recorded, RecordedRequest};
 use crate::proxy::cluster_transport::serialized_request::serialize;
-use crate::proxy::cluster_transport::write_queue_sender::accept_write;
+use crate::proxy::cluster_transport::write_queue_sender::offer_write;
+use crate::proxy::cluster_transport::writes::OfferedWrite;
 use crate::proxy::cluster_transport::ClusterTransport;
 use crate::proxy::memory_budget::MemoryReservation;
 use crate::proxy::runtime::messages::FinalResponse;
@@ -91,8 +92,10 @@
         let in_flight = self.count_in_flight();
         if let Some(cluster) = &self.context.cluster {
             if self.method == Method::POST {
-                if let Some(write) = self.accept_write(cluster, &body).await {
-                    return Ok(accepted_response(write, in_flight));
+                match self.offer_write(cluster, &body).await {
+                    OfferedWrite::Accepted(write) => return Ok(accepted_response(write, in_flight)),
+                    OfferedWrite::Unconfirmed => return Ok(final_response(FinalResponse::Failed, in_flight)),
+                    OfferedWrite::NotQueued => {}
                 }
             }
             if let Some(key) = self.head.idempotency_key {
@@ -110,10 +113,10 @@
         Ok(final_response(response, in_flight))
     }
 
-    /// Offers a write to the write queue of a branch. Returns the dot of the write if the queue accepts it.
-    async fn accept_write(&self, cluster: &Rc<ClusterTransport>, body: &Bytes) -> Option<Dot> {
+    /// Offers a write to the write queue of a branch.
+    async fn offer_write(&self, cluster: &Rc<ClusterTransport>, body: &Bytes) -> OfferedWrite {
         let class = self.context.rules.class_name(self.head.arrival.class);
-        accept_write(cluster, &self.head, class, &self.uri, &self.headers, body).await
+        offer_write(cluster, &self.head, class, &self.uri, &self.headers, body).await
     }
 
     /// Serves the request through the ledger.
