Do not queue a repeat whose first try may run without a record

Cause: that a quorum holds no record of a request was taken as proof that it has not run. A gateway that can't reach the quorum runs requests without a record, so that it proves it of a first try alone. No message tells the branch what a silent gateway has in progress, and none has to come.

Mend: a marked repeat with a key is queued only if this gateway's log holds it as an accepted write, whose repeat it then is. Any other is handled as usual, which is a refusal or a failure while the branch is cut off: what can't be known is not accepted. The price: a client that was refused before the branch noticed that it is cut off, and marks its next try, is not accepted until the uplink is back.

The test failed before ("its first try may have run: accepted") and passes; it passed at first where the ledger had no votes yet, and waits for them now.

--- a/src/proxy/cluster_transport/write_queue_sender.rs
+++ b/src/proxy/cluster_transport/write_queue_sender.rs
@@ -67,11 +67,11 @@
 }
 
 /// Whether the request may be running at another gateway, or may have run there before the uplink failed. Such a
-/// request must not be queued, because it could run twice.
+/// request must not be queued, because it could run twice. That a quorum holds no record proves it of a first try alone:
+/// an earlier one may be in progress without a record at a gateway that could not reach the quorum.
 fn may_have_been_executed_before(outcome: &ClaimOutcome, is_new_repeat: bool) -> bool {
     match outcome {
-        ClaimOutcome::Acquired { existed: false, .. } => false,
-        ClaimOutcome::Unavailable => is_new_repeat,
+        ClaimOutcome::Acquired { existed: false, .. } | ClaimOutcome::Unavailable => is_new_repeat,
         _ => true,
     }
 }
--- a/tests/sockets/branch.rs
+++ b/tests/sockets/branch.rs
@@ -110,6 +110,29 @@
     assert_eq!(writes_done, 5);
 }
 
+/// A repeat ran a second time whose first try was still in progress at a gateway without a record.
+#[test]
+fn a_repeat_whose_first_try_the_branch_does_not_know_is_not_accepted() {
+    let refusing = Refusing::start();
+    let discovery = Discovery::start(&backend_entry("s-1", refusing.address(), "ready"));
+    let (counter, files) = (counter_stub(), cluster_files_with(BRANCH));
+    let gateways: Vec<Gateway> =
+        (0..3).map(|number| start_ledger_gateway(number, &discovery, &counter, &files[number])).collect();
+    for gateway in &gateways {
+        gateway.wait_ready();
+        gateway.wait_for_metric("fleet.present", 3);
+        gateway.wait_for_metric("fleet.ledger.votes", 1);
+        gateway.wait_for_metric("fleet.branch.votes", 1);
+    }
+    wait_until_cut_off(&gateways);
+    let repeat = |number| write_request(number).replace("X-Plan", "X-Again: 1\r\nX-Plan");
+    let unknown = gateways[1].client().round_trip(&repeat(1));
+    assert_ne!(unknown.status(), 202, "its first try may have run: {}", unknown.body);
+    let location = send_accepted_write(&gateways[0], 2);
+    let known = gateways[0].client().round_trip(&repeat(2));
+    assert_eq!((known.status(), known.header("location")), (202, Some(location.as_str())));
+}
+
 /// Sends a write that the branch has to accept, and returns its location. Key and body differ by number.
 fn send_accepted_write(gateway: &Gateway, number: usize) -> String {
     let response = gateway.client().round_trip(&write_request(number));
