Ask a quorum for the release of a request before finishing it for its owner

Cause: the replica took the owner for failed by its own copy. The claim that finishes the request does learn the newest record from a quorum, and did not look whether it was released. And the owner refused its client before more than one replica knew of the release.

Mend: the result of a claim says whether the last owner has given the record up; a request that a replica reports is then left alone. An owner refuses a request that another gateway could finish only once a quorum has its release; without that its client is told that it failed and may run (502).

--- a/lab/tests/ledger_plans/main.rs
+++ b/lab/tests/ledger_plans/main.rs
@@ -78,7 +78,7 @@
         let (seed, steps) = plan().new_tree(&mut runner).expect("a plan").current();
         totals.add(&run_plan(seed, &steps).counts);
     }
-    let Counts { owners, takeovers, responses_read, abandoned } = totals;
+    let Counts { owners, takeovers, responses_read, abandoned, .. } = totals;
     let is_covered = owners > 100 && takeovers > 30 && responses_read > 10 && abandoned > 10;
     assert!(
         is_covered,
@@ -86,6 +86,33 @@
     );
 }
 
+/// A replica that had missed the release of a refused request had it run after its refusal.
+#[test]
+fn a_request_that_its_owner_released_is_not_run_by_a_replica_that_missed_it() {
+    let mut counts = Counts::default();
+    for seed in 0..20 {
+        let (owner, cut) = (seed as usize % SEATS, (seed as usize + 1 + seed as usize / SEATS) % SEATS);
+        let mut simulation = Simulation::new(seed);
+        // Slow enough that each replica is asked.
+        simulation.inject(&Fault::Network(0, 0, 30));
+        for record in 0..RECORDS {
+            let (delay_ms, work_ms, sends_response) = (0, 400, false);
+            let request = ClientRequest { after: 0, seat: owner, record, delay_ms, work_ms, sends_response };
+            simulation.request(&request);
+        }
+        simulation.run_until(simulation.now + 300 * MS);
+        simulation.inject(&Fault::Isolate(cut, cut != owner, cut != owner));
+        simulation.run_until(simulation.now + 700 * MS);
+        simulation.inject(&Fault::Heal);
+        simulation.run_until(simulation.now + 2_500 * MS);
+        assert_eq!(simulation.violation, None, "seed {seed}");
+        counts.add(&simulation.counts);
+    }
+    println!("{} left alone, {} run", counts.left_alone, counts.run_after_release);
+    assert!(counts.left_alone > 5, "{} replicas had missed a release", counts.left_alone);
+    assert_eq!(counts.run_after_release, 0);
+}
+
 /// An owner that is slow but alive keeps its request: if the request were offered to another gateway as
 /// abandoned, both would send its write.
 #[test]
--- a/lab/tests/ledger_plans/simulation.rs
+++ b/lab/tests/ledger_plans/simulation.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 pub const SEATS: usize = 5;
 pub const MS: u64 = 1_000;
@@ -48,6 +48,10 @@
     pub delay_ms: u16,
     pub work_ms: u16,
     pub sends_response: bool,
+    /// Whether a replica reported the request, so that it is handled for its owner.
+    pub for_owner: bool,
+    /// Whether its owner has given the record up without a response.
+    pub given_up: bool,
     /// Number of the write to the record that announces the attempt, once it was made.
     pub send_write: Option<u32>,
 }
@@ -72,6 +76,10 @@
     pub responses_read: u32,
     /// Abandoned requests offered to another gateway.
     pub abandoned: u32,
+    /// Abandoned requests that were left alone, as their owner had released them.
+    pub left_alone: u32,
+    /// Abandoned requests that were run though their owner had released them.
+    pub run_after_release: u32,
 }
 
 pub struct Simulation {
@@ -86,6 +94,8 @@
     pub history: BTreeMap<u64, RecordHistory>,
     pub counts: Counts,
     pub violation: Option<&'static str>,
+    /// Records that an owner has released without a response, as a quorum has confirmed: then it refuses its client.
+    pub released: BTreeSet<u64>,
     /// Last claim outcome by record.
     pub last_outcomes: BTreeMap<u64, ClaimOutcome>,
 }
@@ -100,6 +110,8 @@
         self.takeovers += other.takeovers;
         self.responses_read += other.responses_read;
         self.abandoned += other.abandoned;
+        self.left_alone += other.left_alone;
+        self.run_after_release += other.run_after_release;
     }
 }
 
@@ -127,6 +139,7 @@
             history: BTreeMap::new(),
             counts: Counts::default(),
             violation: None,
+            released: BTreeSet::new(),
             last_outcomes: BTreeMap::new(),
         };
         (0..SEATS).for_each(|seat| simulation.start(seat));
@@ -218,6 +231,10 @@
     }
 
     pub fn request(&mut self, request: &ClientRequest) {
+        self.open(request, false);
+    }
+
+    fn open(&mut self, request: &ClientRequest, for_owner: bool) {
         let seat = request.seat;
         if self.nodes[seat].paused || self.nodes[seat].ledger.is_none() {
             return;
@@ -235,6 +252,8 @@
             delay_ms: request.delay_ms,
             work_ms: request.work_ms,
             sends_response: request.sends_response,
+            for_owner,
+            given_up: false,
             send_write: None,
         };
         let process = self.nodes[seat].process;
@@ -260,14 +279,9 @@
             self.violation = Some("an abandoned request differs from the one that was attached");
         }
         let record = abandoned.id.customer;
-        self.request(&ClientRequest {
-            after: 0,
-            seat,
-            record,
-            delay_ms: 0,
-            work_ms: 30,
-            sends_response: true,
-        });
+        let (delay_ms, work_ms, sends_response) = (0, 30, true);
+        let request = ClientRequest { after: 0, seat, record, delay_ms, work_ms, sends_response };
+        self.open(&request, true);
     }
 
     pub fn on_claim_resolved(&mut self, seat: usize, claim: ClaimId, outcome: ClaimOutcome) {
@@ -279,12 +293,21 @@
         let history = self.history.entry(record).or_default();
         let is_within_lifetime = self.now < history.began_at + SETTINGS.record_lifetime.0 * 8 / 10;
         match outcome {
+            ClaimOutcome::Acquired { released: true, .. } if open_request.for_owner => {
+                self.counts.left_alone += 1;
+                self.push(self.now, Scheduled::Release(seat, key.1, claim, false));
+            }
             ClaimOutcome::Acquired { .. } => {
+                self.counts.run_after_release +=
+                    u32::from(open_request.for_owner && self.released.contains(&record));
                 if is_within_lifetime && history.response_confirmed_at.is_some_and(|at| at < opened_at) {
                     self.violation = Some("a confirmed response was not read");
                 }
                 self.push(self.now + u64::from(delay_ms) * MS, Scheduled::Write(seat, key.1, claim));
             }
+            ClaimOutcome::Confirmed(_) if open_request.given_up => {
+                self.released.insert(record);
+            }
             ClaimOutcome::Confirmed(write_number) => {
                 let node = &self.nodes[seat];
                 let Some(ledger_record) =
@@ -374,6 +397,9 @@
                 {
                     return;
                 }
+                if let Some(open_request) = self.open_requests.get_mut(&(seat, process, claim)) {
+                    open_request.given_up = !sends_response;
+                }
                 let answer = sends_response.then(|| b"done".to_vec());
                 self.run_ledger(seat, |ledger, now, effects| ledger.release(now, claim, answer, effects));
             }
--- a/src/cluster/ledger/client.rs
+++ b/src/cluster/ledger/client.rs
@@ -29,6 +29,8 @@
     Acquired {
         /// Whether the record existed before.
         existed: bool,
+        /// Whether its last owner has given it up, and answers its client itself.
+        released: bool,
         /// Attempts of earlier owners that may have been executed.
         attempts: Vec<RecordedAttempt>,
     },
--- a/src/cluster/ledger/client/prepare.rs
+++ b/src/cluster/ledger/client/prepare.rs
@@ -104,7 +104,7 @@
         let Some(latest) = self.latest_held().cloned() else {
             self.phase = Phase::Prepared;
             self.record_created_at = self.round_started_at;
-            return ClaimOutcome::Acquired { existed: false, attempts: Vec::new() };
+            return ClaimOutcome::Acquired { existed: false, released: false, attempts: Vec::new() };
         };
         if latest.record.request_digest != self.record.request_digest {
             self.phase = Phase::Finished;
@@ -120,8 +120,9 @@
             sent_at: self.record_created_at + Micros(u64::from(attempt.record_age_ms) * 1000),
         };
         let attempts = latest.record.attempts.iter().map(to_recorded).collect();
+        let released = !latest.record.owned;
         self.record = Record { lease_ms: self.record.lease_ms, ..latest.record };
-        ClaimOutcome::Acquired { existed: true, attempts }
+        ClaimOutcome::Acquired { existed: true, released, attempts }
     }
 
     fn latest_held(&self) -> Option<&RecordSnapshot> {
--- a/src/proxy/cluster_transport/abandoned_requests.rs
+++ b/src/proxy/cluster_transport/abandoned_requests.rs
@@ -41,7 +41,7 @@
         let (context, cluster) = (context.clone(), cluster.clone());
         tokio::task::spawn_local(async move {
             let outcome = finish(&context, &cluster, &request).await;
-            if outcome != AbandonedOutcome::AlreadyCompleted {
+            if !matches!(outcome, AbandonedOutcome::AlreadyCompleted | AbandonedOutcome::Released) {
                 cluster.count_abandoned(outcome == AbandonedOutcome::Finished);
                 info!(customer = request.id.customer, ?outcome, "abandoned request handled");
             }
@@ -57,6 +57,8 @@
     Finished,
     /// The request already had a response.
     AlreadyCompleted,
+    /// The owner has given the request up and answered its client, which the replica that reported it has missed.
+    Released,
     /// Another gateway owns the record, or the record could not be acquired, so that the earlier attempts are
     /// unknown.
     OwnedElsewhere,
@@ -80,7 +82,16 @@
     if !matches_record || !cluster.finishes_abandoned(context.rules.class_name(head.arrival.class)) {
         return AbandonedOutcome::NotResumable;
     }
-    resume(context, cluster, &record, &head, &forward).await
+    resume(context, cluster, &record, &head, &forward, ReleasedRecord::IsAnswered).await
+}
+
+/// What it means that the last owner has given up the record of a request that is to be resumed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReleasedRecord {
+    /// The owner has answered its client, with a promise of no effect if it has refused the request.
+    IsAnswered,
+    /// The owner forwarded a queued write, which is still owed.
+    IsOwed,
 }
 
 /// Result of one try to resume a request.
@@ -97,11 +108,14 @@
     record: &RecordedRequest,
     head: &RequestHead,
     forward: &ForwardedRequest,
+    mut released: ReleasedRecord,
 ) -> AbandonedOutcome {
     for earlier_tries in 0..MAX_TRIES {
-        match try_resume(context, cluster, record, head, forward).await {
+        match try_resume(context, cluster, record, head, forward, released).await {
             ResumeResult::Ended(outcome) => return outcome,
             ResumeResult::Rejected { retry_after } => {
+                // The last owner was this gateway.
+                released = ReleasedRecord::IsOwed;
                 let backoff = INITIAL_BACKOFF * 2u32.pow(earlier_tries);
                 sleep(backoff.max(retry_after.min(MAX_RETRY_AFTER))).await;
             }
@@ -116,12 +130,16 @@
     record: &RecordedRequest,
     head: &RequestHead,
     forward: &ForwardedRequest,
+    released_record: ReleasedRecord,
 ) -> ResumeResult {
     let Some(claim) = cluster.claim(record.id, record.digest, None) else {
         return ResumeResult::Ended(AbandonedOutcome::OwnedElsewhere);
     };
     let attempts = match claim.outcome().await {
-        ClaimOutcome::Acquired { existed: true, attempts } => prior_attempts(attempts),
+        ClaimOutcome::Acquired { released: true, .. } if released_record == ReleasedRecord::IsAnswered => {
+            return ResumeResult::Ended(AbandonedOutcome::Released);
+        }
+        ClaimOutcome::Acquired { existed: true, attempts, .. } => prior_attempts(attempts),
         ClaimOutcome::Completed(_) => return ResumeResult::Ended(AbandonedOutcome::AlreadyCompleted),
         _ => return ResumeResult::Ended(AbandonedOutcome::OwnedElsewhere),
     };
--- a/src/proxy/cluster_transport/claim_progress.rs
+++ b/src/proxy/cluster_transport/claim_progress.rs
@@ -49,6 +49,11 @@
         self.confirmed_write.get() >= write
     }
 
+    /// Whether a quorum of the replicas has confirmed any write of the record.
+    pub fn has_writes(&self) -> bool {
+        self.confirmed_write.get() > 0
+    }
+
     /// Waits until `ready` returns a value, and returns it.
     pub async fn wait<T>(&self, ready: impl Fn(&ClaimProgress) -> Option<T>) -> T {
         loop {
--- a/src/proxy/cluster_transport/ledger_claim.rs
+++ b/src/proxy/cluster_transport/ledger_claim.rs
@@ -128,6 +128,20 @@
         self.unprotected.get() || self.cluster.may_act(self.handle)
     }
 
+    /// Gives the record up, so that no other gateway continues the request. Returns whether none will: a quorum has learned
+    /// of it, or nothing was written that another gateway could continue.
+    pub async fn give_up(&self) -> bool {
+        if self.unprotected.get() || !self.cluster.may_act(self.handle) {
+            return !self.progress.has_writes();
+        }
+        let Some(write) = self.cluster.write_claim(self.handle, RecordChange::Release) else { return false };
+        let confirmed = |progress: &ClaimProgress| match progress.is_lost() {
+            true => Some(false),
+            false => progress.is_confirmed(write).then_some(true),
+        };
+        self.wait_for_replicas(confirmed).await.unwrap_or(false)
+    }
+
     /// Called when an attempt at this endpoint has ended. Removes the attempt from the record if it never ran.
     pub fn attempt_ended(&self, endpoint: u64, outcome: Outcome) {
         if outcome.never_ran() && !self.unprotected.get() {
--- a/src/proxy/cluster_transport/ledger_request.rs
+++ b/src/proxy/cluster_transport/ledger_request.rs
@@ -76,7 +76,8 @@
 {
     // Most requests are first attempts of their clients, so they run while the replicas are still being asked.
     let mut run_speculatively = !arrival.is_retry;
-    let mut serving = RecordedServing { context, arrival, forward, polls: 0 };
+    let may_be_finished = record.serialized.is_some();
+    let mut serving = RecordedServing { context, arrival, forward, polls: 0, may_be_finished };
     loop {
         let open_claim = || cluster.claim(record.id, record.digest, record.serialized.clone());
         let Some(mut claim) = open_claim() else {
@@ -106,6 +107,8 @@
     forward: F,
     /// Number of polls that found the request running at another gateway.
     polls: u32,
+    /// Whether another gateway finishes the request if this one fails.
+    may_be_finished: bool,
 }
 
 impl<F: Fn(Option<Rc<LedgerClaim>>) -> ForwardedRequest> RecordedServing<'_, F> {
@@ -120,7 +123,14 @@
         already_counted: bool,
     ) -> FinalResponse {
         let arrival = Arrival { already_counted, prior_attempts, ..self.arrival.clone() };
-        dispatch(self.context, arrival, (self.forward)(Some(claim.clone()))).await
+        let response = dispatch(self.context, arrival, (self.forward)(Some(claim.clone()))).await;
+        match response {
+            // A refusal promises that the request has no effect.
+            FinalResponse::Rejected { .. } if self.may_be_finished && !claim.give_up().await => {
+                FinalResponse::Failed
+            }
+            response => response,
+        }
     }
 
     /// Runs the request before the result of the claim is known. Stops if the record belongs to another owner or
@@ -144,7 +154,7 @@
             ClaimOutcome::InProgress(remaining_lease) => self.wait_for_owner(remaining_lease).await,
             ClaimOutcome::Lost | ClaimOutcome::Confirmed(_) => Step::ClaimAgain,
             ClaimOutcome::Unavailable => Step::Done(self.run(claim, Vec::new(), false).await),
-            ClaimOutcome::Acquired { attempts, existed } => {
+            ClaimOutcome::Acquired { attempts, existed, .. } => {
                 tokio::select! {
                     biased;
                     () = claim.wait_until_lost() => Step::ClaimAgain,
--- a/src/proxy/cluster_transport/write_queue_sender.rs
+++ b/src/proxy/cluster_transport/write_queue_sender.rs
@@ -1,7 +1,7 @@
 //! Writes of an isolated branch: offers requests to the write queue, reports the status of writes to clients, and
 //! forwards queued writes when the queue releases them.
 
-use super::abandoned_requests::{resume, AbandonedOutcome};
+use super::abandoned_requests::{resume, AbandonedOutcome, ReleasedRecord};
 use super::ledger_request::{serve_recorded, RecordedRequest};
 use super::outcome_recorder::OutcomeRecorder;
 use super::queued_write::QueuedWrite;
@@ -141,11 +141,13 @@
     }
     // The write may have run. If a record lists its attempts, its class may still allow another attempt.
     let Some(record) = &record else { return ForwardOutcome::Unknown };
-    match resume(context, cluster, record, &head, &forward).await {
+    match resume(context, cluster, record, &head, &forward, ReleasedRecord::IsOwed).await {
         AbandonedOutcome::Finished | AbandonedOutcome::AlreadyCompleted => {
             ForwardOutcome::Answered(StatusCode::OK.as_u16())
         }
-        AbandonedOutcome::OwnedElsewhere | AbandonedOutcome::NotResumable => ForwardOutcome::Unknown,
+        AbandonedOutcome::OwnedElsewhere | AbandonedOutcome::NotResumable | AbandonedOutcome::Released => {
+            ForwardOutcome::Unknown
+        }
     }
 }
 
