Let the test of dropped customers fail without the line that it guards

The test stayed green with `admitting_since` unchanged, as its 1,000 requests of other customers were never answered and took the capacity of all endpoints: nothing more was forwarded, whatever the hard limit said. They end now. Without the line 5 requests are forwarded again, with it none.

--- a/tests/customer_limit.rs
+++ b/tests/customer_limit.rs
@@ -39,7 +39,11 @@
     assert!(forwarded > 0, "the customer has not used its hard limit");
     harness.advance(MS);
     for customer in 0..1_000 {
-        harness.request(0, 3, 1_000 + customer, 1.0);
+        // Ended at once: otherwise no endpoint has capacity for what follows.
+        let (_, out) = harness.request(0, 3, 1_000 + customer, 1.0);
+        for (id, endpoint) in sent_attempts(&out) {
+            harness.end_attempt(id, 0, endpoint, Outcome::Success);
+        }
     }
     let again = (0..100).filter(|_| is_forwarded_without_counter(&mut harness, 9)).count();
     assert_eq!(again, 0, "after {forwarded} were forwarded");
