Count the wait before the accept also where a request has no body

Cause: hyper reads once more after the head of a request without a body. That read finds nothing, and was taken for the end of what had arrived before the accept. What counts is that bytes arrive after such a read.

The test failed before ((200, 1) in place of (429, 0)) and passes.

--- a/src/proxy/downstream/client_input.rs
+++ b/src/proxy/downstream/client_input.rs
@@ -50,7 +50,6 @@
         if self.has_unread_bytes.get() {
             return;
         }
-        self.arrived_before_accept.set(None);
         self.is_drained.set(true);
         self.update_wait();
     }
@@ -60,7 +59,9 @@
         if self.waited_since.get().is_some() {
             self.drained_at.set(Instant::now());
         }
-        self.is_drained.set(false);
+        if self.is_drained.replace(false) {
+            self.arrived_before_accept.set(None);
+        }
         self.update_wait();
     }
 
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the gateway program over loopback sockets: conditions of real networks that the simulator does not model.
+mod accept_wait;
 mod admin_fixtures;
 mod admin_server;
 mod backends;
