Drop no more customers than the bound asks for

What callers would see: a flood of new names within one tick made the gateway forget nearly all customers (1 of 200 left in the test), with their windows and buckets, where a quarter had to go.

Cause: all customers that were last used at the cut-off instant or before were dropped, and many share one instant. Now as many as needed are. The test failed before and passes; at least three quarters are left.

--- a/src/decision/gateway/arrival.rs
+++ b/src/decision/gateway/arrival.rs
@@ -62,7 +62,13 @@
         let oldest = (last_used.len() / CUSTOMERS_DROPPED_DIVISOR).min(last_used.len() - 1);
         let (_, cutoff, _) = last_used.select_nth_unstable(oldest);
         let cutoff = *cutoff;
-        self.customers.retain(|_, customer| customer.last_used > cutoff || customer.in_flight > 0.0);
+        // Many may have been used at the same instant.
+        let mut surplus = oldest + 1;
+        self.customers.retain(|_, customer| {
+            let is_dropped = surplus > 0 && customer.last_used <= cutoff && customer.in_flight <= 0.0;
+            surplus -= usize::from(is_dropped);
+            !is_dropped
+        });
         // What a dropped customer spent under its hard limit is forgotten: its bucket is empty when it comes again, and
         // fills from then on.
         self.admitting_since = self.admitting_since.max(Some(cutoff));
--- a/tests/customer_limit.rs
+++ b/tests/customer_limit.rs
@@ -30,6 +30,24 @@
     assert!(harness.gateway.customer_count() >= MAX_CUSTOMERS / 2, "no more are dropped than need be");
 }
 
+/// All customers of one instant were dropped where a quarter had to be.
+#[test]
+fn customers_of_one_instant_are_not_dropped_together() {
+    let mut harness = GatewayHarness::new(settings(), 8);
+    harness.gateway.limit_customers(MAX_CUSTOMERS);
+    let mut fewest = MAX_CUSTOMERS;
+    for customer in 0..1_000 {
+        let (_, out) = harness.request(0, 3, 1_000 + customer, 1.0);
+        for (id, endpoint) in sent_attempts(&out) {
+            harness.end_attempt(id, 0, endpoint, Outcome::Success);
+        }
+        if customer as usize >= MAX_CUSTOMERS {
+            fewest = fewest.min(harness.gateway.customer_count());
+        }
+    }
+    assert!(fewest >= MAX_CUSTOMERS * 3 / 4, "{fewest} of {MAX_CUSTOMERS} customers are left");
+}
+
 #[test]
 fn a_dropped_customer_may_not_use_its_hard_limit_again() {
     let mut harness = GatewayHarness::new(settings(), 8);
