Refuse a client that has waited for too long to be accepted

All 160 connections are held by requests that wait for a backend, which nothing may close; each is refused after 0.3 s, so that a burst of 700 takes 1.3 s. With the listening queue of 128 these clients had not connected yet, and nobody counted their wait.

Mend: four connections are kept for refusals. A client that has waited 0.4 s to be accepted is served by one of them: its request is answered 429, a health check as always, and the connection is closed. So its answer comes within 0.5 s after its budget, whatever that is.

--- a/src/proxy/control_plane/config/socket_limits.rs
+++ b/src/proxy/control_plane/config/socket_limits.rs
@@ -4,9 +4,11 @@
 
 /// Limit on the connections of operators.
 pub const MAX_OPERATOR_CONNECTIONS: usize = 8;
+/// Limit on the connections of clients that are refused for want of a permit.
+pub const MAX_REFUSED_CONNECTIONS: usize = 4;
 /// Descriptors reserved for everything but clients, backends and the counter: standard streams, listeners, epoll,
-/// signals, calls to discovery, the accepted client that waits for a permit, and operators.
-const RESERVED_DESCRIPTORS: usize = 16 + MAX_OPERATOR_CONNECTIONS;
+/// signals, calls to discovery, the accepted client that waits for a permit, those that are refused, and operators.
+const RESERVED_DESCRIPTORS: usize = 16 + MAX_REFUSED_CONNECTIONS + MAX_OPERATOR_CONNECTIONS;
 /// One descriptor in this many is for the counter.
 const DESCRIPTORS_PER_COUNTER_CONNECTION: usize = 32;
 /// Limit on connections to the counter, which resets further ones.
--- a/src/proxy/downstream/client_response.rs
+++ b/src/proxy/downstream/client_response.rs
@@ -97,7 +97,8 @@
     response
 }
 
-fn rejected_response(retry_after: Option<Micros>) -> Response<ClientResponseBody> {
+/// Returns the response to a request that is refused.
+pub fn rejected_response(retry_after: Option<Micros>) -> Response<ClientResponseBody> {
     let mut response = plain_text(StatusCode::TOO_MANY_REQUESTS, "refused\n");
     let seconds = retry_after.and_then(|wait| HeaderValue::from_str(&format!("{:.3}", wait.secs())).ok());
     if let Some(seconds) = seconds {
--- a/src/proxy/downstream/connection.rs
+++ b/src/proxy/downstream/connection.rs
@@ -19,6 +19,8 @@
 use tokio::task::yield_now;
 use tracing::debug;
 
+/// Path of the health check.
+pub(super) const HEALTH_PATH: &str = "/_health";
 /// Connection permits count as scarce when fewer than one in this many is available.
 const SCARCE_DIVISOR: usize = 4;
 
@@ -76,7 +78,7 @@
         yield_now().await;
     }
     let mut response = match request.uri().path() {
-        "/_health" => health(context),
+        HEALTH_PATH => health(context),
         path if path.starts_with(WRITES_PATH) => write_status(context, request.method(), path),
         // Boxed, so that a connection without a request does not hold the space of one.
         "/api" => Box::pin(handle(request, &open_request, context)).await.unwrap_or_else(error_response),
@@ -92,7 +94,8 @@
     response
 }
 
-fn health(context: &ProxyContext) -> Response<ClientResponseBody> {
+/// Returns the response to a health check.
+pub(super) fn health(context: &ProxyContext) -> Response<ClientResponseBody> {
     match context.lifecycle.is_healthy() {
         true => plain_text(StatusCode::OK, "ready\n"),
         false => plain_text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod dispatch;
 pub(crate) mod idle_connections;
 pub(crate) mod listener;
+mod refusal;
 pub(crate) mod request;
 pub(crate) mod request_body;
 pub(crate) mod request_error;
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -5,8 +5,12 @@
 use super::context::ProxyContext;
 use super::idle_connections::{IdleConnections, SWEEP_INTERVAL};
 use super::listener::AcceptedConnection;
-use crate::decision::EvictionLimits;
+use super::refusal::{refuse, MAX_ACCEPT_WAIT};
+use crate::decision::{EvictionLimits, Micros};
+use crate::proxy::admin::metrics::ConnectionCloseReason;
+use crate::proxy::control_plane::config::socket_limits::MAX_REFUSED_CONNECTIONS;
 use crate::proxy::lifecycle::drain::ShutdownPhase;
+use crate::proxy::lifecycle::permits::Permits;
 use crate::proxy::runtime::clock::duration;
 use std::pin::pin;
 use std::rc::Rc;
@@ -87,8 +91,13 @@
 ) {
     let idle_connections = Rc::new(IdleConnections::new(context.lifecycle.clone()));
     let shutdown = Shutdown::new(context.clone());
-    let mut server =
-        ClientServer { context, idle_connections, shutdown, sweep_interval: interval(SWEEP_INTERVAL) };
+    let mut server = ClientServer {
+        context,
+        idle_connections,
+        shutdown,
+        sweep_interval: interval(SWEEP_INTERVAL),
+        refusals: Permits::new(MAX_REFUSED_CONNECTIONS),
+    };
     server.accept_connections(listener, other_process_connections).await;
     server.finish_connections().await;
 }
@@ -99,6 +108,8 @@
     idle_connections: Rc<IdleConnections>,
     shutdown: Shutdown,
     sweep_interval: Interval,
+    /// Connections that are being refused.
+    refusals: Permits,
 }
 
 impl ClientServer {
@@ -123,9 +134,9 @@
                 result = listener.accept(), if !waits_for_permit && !is_replaced => match result {
                     Ok((stream, _)) => {
                         backoff.succeeded();
-                        let connection = accepted.insert(AcceptedConnection::new(stream));
+                        accepted = Some(AcceptedConnection::new(stream));
                         if permits.available() == 0 {
-                            self.make_room_for(connection);
+                            self.make_room_for(&mut accepted);
                         }
                     }
                     Err(error) => backoff.failed(&error).await,
@@ -135,11 +146,7 @@
                         self.spawn_connection(connection, permit);
                     }
                 }
-                () = sleep(EVICTION_INTERVAL), if waits_for_permit => {
-                    if let Some(connection) = &accepted {
-                        self.make_room_for(connection);
-                    }
-                }
+                () = sleep(EVICTION_INTERVAL), if waits_for_permit => self.make_room_for(&mut accepted),
                 _ = self.sweep_interval.tick() => self.sweep(),
                 Ok(()) = other_process_connections.changed() => {
                     permits.reserve_for_other_process(*other_process_connections.borrow_and_update());
@@ -161,11 +168,24 @@
     }
 
     /// Closes a connection that has been inactive for long enough, if there is one. The longer the accepted one has waited,
-    /// the less is enough.
-    fn make_room_for(&self, accepted: &AcceptedConnection) {
+    /// the less is enough; after [`MAX_ACCEPT_WAIT`] it is refused.
+    fn make_room_for(&self, accepted: &mut Option<AcceptedConnection>) {
         let clock = self.context.clock;
-        let waited = clock.now() - clock.time_at(accepted.last_arrival);
+        let waited = |connection: &AcceptedConnection| clock.now() - clock.time_at(connection.last_arrival);
+        let waited = accepted.as_ref().map_or(Micros(0), waited);
         let _ = self.idle_connections.evict_one(EvictionLimits::after_waiting(waited));
+        if waited < MAX_ACCEPT_WAIT {
+            return;
+        }
+        let Some(permit) = self.refusals.try_acquire() else { return };
+        if let Some(connection) = accepted.take() {
+            self.context.metrics.connection_closes.increment(ConnectionCloseReason::Evicted);
+            let (context, idle_connections) = (self.context.clone(), self.idle_connections.clone());
+            tokio::task::spawn_local(async move {
+                refuse(connection, context, idle_connections).await;
+                drop(permit);
+            });
+        }
     }
 
     /// Closes connections whose time-out has expired, those that hold up scarce transfers, and those that keep permits from
