Take the connections for refusals from those of clients

The division is as it was; the four connections for refusals are among those of clients, at most one in eight.

--- a/src/proxy/control_plane/config/socket_limits.rs
+++ b/src/proxy/control_plane/config/socket_limits.rs
@@ -5,10 +5,12 @@
 /// Limit on the connections of operators.
 pub const MAX_OPERATOR_CONNECTIONS: usize = 8;
 /// Limit on the connections of clients that are refused for want of a permit.
-pub const MAX_REFUSED_CONNECTIONS: usize = 4;
+const MAX_REFUSED_CONNECTIONS: usize = 4;
+/// At most one connection of a client in this many is for those that are refused.
+const CLIENTS_PER_REFUSED_CONNECTION: usize = 8;
 /// Descriptors reserved for everything but clients, backends and the counter: standard streams, listeners, epoll,
-/// signals, calls to discovery, the accepted client that waits for a permit, those that are refused, and operators.
-const RESERVED_DESCRIPTORS: usize = 16 + MAX_REFUSED_CONNECTIONS + MAX_OPERATOR_CONNECTIONS;
+/// signals, calls to discovery, the accepted client that waits for a permit, and operators.
+const RESERVED_DESCRIPTORS: usize = 16 + MAX_OPERATOR_CONNECTIONS;
 /// One descriptor in this many is for the counter.
 const DESCRIPTORS_PER_COUNTER_CONNECTION: usize = 32;
 /// Limit on connections to the counter, which resets further ones.
@@ -38,6 +40,16 @@
         SocketLimits { clients, backends, counter }
     }
 
+    /// Returns how many of the connections from clients are for those that are refused.
+    pub fn refused_clients(self) -> usize {
+        (self.clients / CLIENTS_PER_REFUSED_CONNECTION).min(MAX_REFUSED_CONNECTIONS)
+    }
+
+    /// Returns how many are for those that are served.
+    pub fn served_clients(self) -> usize {
+        self.clients - self.refused_clients()
+    }
+
     /// Returns the limits where this many processes of one gateway share the descriptors. Connections are divided between
     /// them while they run; each needs its own reserved ones.
     pub(super) fn shared_by(self, processes: usize) -> SocketLimits {
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -8,7 +8,6 @@
 use super::refusal::{refuse, MAX_ACCEPT_WAIT};
 use crate::decision::{EvictionLimits, Micros};
 use crate::proxy::admin::metrics::ConnectionCloseReason;
-use crate::proxy::control_plane::config::socket_limits::MAX_REFUSED_CONNECTIONS;
 use crate::proxy::lifecycle::drain::ShutdownPhase;
 use crate::proxy::lifecycle::permits::Permits;
 use crate::proxy::runtime::clock::duration;
@@ -91,13 +90,9 @@
 ) {
     let idle_connections = Rc::new(IdleConnections::new(context.lifecycle.clone()));
     let shutdown = Shutdown::new(context.clone());
-    let mut server = ClientServer {
-        context,
-        idle_connections,
-        shutdown,
-        sweep_interval: interval(SWEEP_INTERVAL),
-        refusals: Permits::new(MAX_REFUSED_CONNECTIONS),
-    };
+    let refusals = Permits::new(context.memory.sockets().refused_clients());
+    let sweep_interval = interval(SWEEP_INTERVAL);
+    let mut server = ClientServer { context, idle_connections, shutdown, sweep_interval, refusals };
     server.accept_connections(listener, other_process_connections).await;
     server.finish_connections().await;
 }
--- a/src/proxy/startup.rs
+++ b/src/proxy/startup.rs
@@ -99,7 +99,7 @@
     let (runtime_sender, metrics) = (sender.clone(), parts.metrics.clone());
     spawn_local(follow_services(services, plan.known_revision, plan.timing, runtime_sender, metrics));
     let runtime_task = spawn_local(runtime.run());
-    let permits = Rc::new(Permits::new(parts.memory.sockets().clients));
+    let permits = Rc::new(Permits::new(parts.memory.sockets().served_clients()));
     spawn_local(return_freed_memory(parts.memory.clone(), permits.clone()));
     let (other_process_sender, other_process_connections) = watch::channel(0);
     let handover = plan.handover(address, commands, &parts, permits.clone(), other_process_sender);
