--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,5 +1,6 @@
 //! The cases of the second review: stand-ins for clients, backends, discovery and counter around real gateways.
 
+mod case_maintenance_before_takeover;
 mod case_never_ending;
 mod http;
 mod platform;
@@ -54,6 +55,7 @@
 
 fn play(name: &str, run: &Run) -> Result<Verdict, Failure> {
     match name {
+        "maintenance-before-takeover" => case_maintenance_before_takeover::play(run),
         "never-ending" => case_never_ending::play(run),
         other => Err(format!("no case is named {other}").into()),
     }
