Review case 8: requests of a replaced process are sent again by others

Cause: a process that is replaced leaves the cluster at once and drops its open ledger claims, while it goes on with the requests. The replicas take it for failed, and other gateways finish requests that are still out, or whose clients have their answers and have gone.

Nothing is mended.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -2,6 +2,7 @@
 
 mod case_maintenance_before_takeover;
 mod case_never_ending;
+mod case_owner;
 mod http;
 mod platform;
 
@@ -55,6 +56,7 @@
 
 fn play(name: &str, run: &Run) -> Result<Verdict, Failure> {
     match name {
+        "upgrade-owner" => case_owner::play(run, case_owner::Disruption::Upgrade),
         "maintenance-before-takeover" => case_maintenance_before_takeover::play(run),
         "never-ending" => case_never_ending::play(run),
         other => Err(format!("no case is named {other}").into()),
