Review case 6: long answers are cut off while their clients read them

Cause: a client counts as one that reads nothing while a write to it waits, and a write waits until a third of the system's send buffer is free, some 11 s at 80 kB a second. Once transfers are scarce, all such answers are closed after 2 s.

Change: a case with its script, stand-in and claim. Nothing is mended.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -3,6 +3,7 @@
 mod case_maintenance_before_takeover;
 mod case_never_ending;
 mod case_owner;
+mod case_slow_reader;
 mod http;
 mod platform;
 
@@ -59,6 +60,7 @@
         "upgrade-owner" => case_owner::play(run, case_owner::Disruption::Upgrade),
         "maintenance-before-takeover" => case_maintenance_before_takeover::play(run),
         "never-ending" => case_never_ending::play(run),
+        "slow-reader" => case_slow_reader::play(run),
         other => Err(format!("no case is named {other}").into()),
     }
 }
