--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -57,6 +57,7 @@
 
 fn play(name: &str, run: &Run) -> Result<Verdict, Failure> {
     match name {
+        "cut-off-owner" => case_owner::play(run, case_owner::Disruption::Cut),
         "upgrade-owner" => case_owner::play(run, case_owner::Disruption::Upgrade),
         "maintenance-before-takeover" => case_maintenance_before_takeover::play(run),
         "never-ending" => case_never_ending::play(run),
