--- a/review/stand-ins-2/src/case_maintenance_before_takeover.rs
+++ b/review/stand-ins-2/src/case_maintenance_before_takeover.rs
@@ -48,8 +48,7 @@
         second_copies: true,
         fleet: None,
     };
-    let mut old = Gateway::start(&spec, &discovery, &counter)?;
-    old.wait_ready()?;
+    let mut old = Gateway::start_ready(&spec, &discovery, &counter)?;
     let stop = AtomicBool::new(false);
     let (said, _new) = thread::scope(|scope| {
         for client in 0..CLIENTS {
--- a/review/stand-ins-2/src/case_never_ending.rs
+++ b/review/stand-ins-2/src/case_never_ending.rs
@@ -70,8 +70,7 @@
         second_copies: true,
         fleet: None,
     };
-    let gateway = Gateway::start(&spec, &discovery, &counter)?;
-    gateway.wait_ready()?;
+    let gateway = Gateway::start_ready(&spec, &discovery, &counter)?;
     let (whole, not_whole, open) = (AtomicUsize::new(0), AtomicUsize::new(0), AtomicUsize::new(0));
     thread::scope(|scope| {
         for client in 0..CLIENTS {
--- a/review/stand-ins-2/src/case_owner.rs
+++ b/review/stand-ins-2/src/case_owner.rs
@@ -183,15 +183,11 @@
         })
     };
     let (first, others) = (spec(0)?, [spec(1)?, spec(2)?]);
-    let mut old = Gateway::start(&first, &discovery, &counter)?;
+    let mut old = Gateway::start_ready(&first, &discovery, &counter)?;
     let others = [
-        Gateway::start(&others[0], &discovery, &counter)?,
-        Gateway::start(&others[1], &discovery, &counter)?,
+        Gateway::start_ready(&others[0], &discovery, &counter)?,
+        Gateway::start_ready(&others[1], &discovery, &counter)?,
     ];
-    old.wait_ready()?;
-    for gateway in &others {
-        gateway.wait_ready()?;
-    }
     record.note("three gateways are ready");
     thread::sleep(UNTIL_VOTES);
     let stop = AtomicBool::new(false);
--- a/review/stand-ins-2/src/case_slow_reader.rs
+++ b/review/stand-ins-2/src/case_slow_reader.rs
@@ -59,8 +59,7 @@
         second_copies: true,
         fleet: None,
     };
-    let gateway = Gateway::start(&spec, &discovery, &counter)?;
-    gateway.wait_ready()?;
+    let gateway = Gateway::start_ready(&spec, &discovery, &counter)?;
     let (whole, refused, cut) = (AtomicUsize::new(0), AtomicUsize::new(0), AtomicUsize::new(0));
     thread::scope(|scope| {
         for number in 0..CLIENTS {
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,5 +1,6 @@
 //! The cases of the second review: stand-ins for clients, backends, discovery and counter around real gateways.
 
+mod case_late_second_answer;
 mod case_maintenance_before_takeover;
 mod case_never_ending;
 mod case_owner;
@@ -59,6 +60,7 @@
     match name {
         "cut-off-owner" => case_owner::play(run, case_owner::Disruption::Cut),
         "upgrade-owner" => case_owner::play(run, case_owner::Disruption::Upgrade),
+        "late-second-answer" => case_late_second_answer::play(run),
         "maintenance-before-takeover" => case_maintenance_before_takeover::play(run),
         "never-ending" => case_never_ending::play(run),
         "slow-reader" => case_slow_reader::play(run),
--- a/review/stand-ins-2/src/platform.rs
+++ b/review/stand-ins-2/src/platform.rs
@@ -272,6 +272,7 @@
 }
 
 /// What differs between the gateways of the cases.
+#[derive(Clone, Copy)]
 pub struct GatewaySpec<'a> {
     pub name: &'a str,
     pub number: usize,
@@ -378,6 +379,34 @@
         Ok(Gateway { child, listen: spec.listen, ops })
     }
 
+    /// Starts a gateway and waits until it is ready. A port that was free may have been taken since then, so that a start
+    /// that fails at once is tried again with others.
+    pub fn start_ready(
+        spec: &GatewaySpec,
+        discovery: &Discovery,
+        counter: &Counter,
+    ) -> Result<Gateway, Failure> {
+        let mut spec = *spec;
+        for _ in 0..5 {
+            let mut gateway = Gateway::start(&spec, discovery, counter)?;
+            let until = Instant::now() + Duration::from_secs(20);
+            while Instant::now() < until {
+                thread::sleep(Duration::from_millis(10));
+                let says_yes = gateway.says_yes();
+                if gateway.has_exited() {
+                    break;
+                }
+                if says_yes {
+                    return Ok(gateway);
+                }
+            }
+            if spec.inherited.is_none() {
+                spec.listen = free_address()?;
+            }
+        }
+        Err("no gateway became ready".into())
+    }
+
     /// Waits until the gateway says that it is ready to serve.
     pub fn wait_ready(&self) -> Result<(), Failure> {
         let until = Instant::now() + Duration::from_secs(20);
