--- a/review/stand-ins-2/src/case_late_second_answer.rs
+++ b/review/stand-ins-2/src/case_late_second_answer.rs
@@ -10,17 +10,19 @@
 use std::time::{Duration, Instant};
 
 const BACKENDS: usize = 4;
-const WORK: Duration = Duration::from_millis(30);
+const WORK: Duration = Duration::from_millis(75);
 /// One answer in this many comes twice.
 const TWICE_EVERY: u64 = 10;
 /// The second one comes 2 to 8 ms after the first.
 const LATE_BY_MS: std::ops::Range<u64> = 2..9;
-/// Clients of a gateway, each of which waits 0 to 60 ms between an answer and its next request: some 100 requests a second.
+/// Clients of a gateway, each of which waits 0 to 60 ms between an answer and its next request: some 50 requests a second.
 const CLIENTS: u64 = 6;
 const LONGEST_PAUSE_MS: u64 = 60;
 /// Small deployments side by side, in each of which one gateway after the other starts from nothing and is used for a moment.
-const ROWS: usize = 8;
-const STARTS: usize = 50;
+const ROWS: usize = 12;
+const STARTS: usize = 55;
+/// After this no further gateway is started, however many are left.
+const NO_START_AFTER: Duration = Duration::from_secs(85);
 const EACH: Duration = Duration::from_millis(1_300);
 
 /// A number that looks drawn by chance, made from an id.
@@ -31,13 +33,18 @@
 
 pub fn play(run: &Run) -> Result<Verdict, Failure> {
     let (total, foreign, gateways) = (AtomicUsize::new(0), AtomicUsize::new(0), AtomicUsize::new(0));
+    let starts = AtomicUsize::new(0);
     thread::scope(|scope| -> Result<(), Failure> {
         let rows: Vec<_> = (0..ROWS)
             .map(|row| {
-                let (total, foreign, gateways) = (&total, &foreign, &gateways);
+                let (total, foreign, gateways, starts) = (&total, &foreign, &gateways, &starts);
                 scope.spawn(move || -> Result<(), Failure> {
                     let (discovery, counter, folder) = surroundings(run, row)?;
                     for start in 0..STARTS {
+                        if run.record.started.elapsed() > NO_START_AFTER {
+                            break;
+                        }
+                        starts.fetch_add(1, Ordering::SeqCst);
                         let name = format!("{row}.{start}");
                         let wrong = one_start(run, &name, &discovery, &counter, &folder, total)?;
                         foreign.fetch_add(wrong, Ordering::SeqCst);
@@ -55,7 +62,7 @@
     let (total, foreign, gateways) = (total.into_inner(), foreign.into_inner(), gateways.into_inner());
     run.record.say(format!(
         "{foreign} of {total} answers belonged to another request, after {gateways} of {} starts",
-        ROWS * STARTS
+        starts.into_inner()
     ));
     match foreign {
         0 if total < 1_000 => Err("too few answers came".into()),
--- a/review/stand-ins-2/src/case_maintenance_before_takeover.rs
+++ b/review/stand-ins-2/src/case_maintenance_before_takeover.rs
@@ -11,7 +11,7 @@
 
 const BACKENDS: usize = 4;
 const CLIENTS: u64 = 4;
-const WORK: Duration = Duration::from_millis(30);
+const WORK: Duration = Duration::from_millis(75);
 /// What is sent to a draining backend up to 1 s after the gateway was told is allowed, 50 ms more on sockets, and 0.15 s in
 /// which a gateway may be held up.
 const GRACE: Duration = Duration::from_millis(1_200);
--- a/review/stand-ins-2/src/case_owner.rs
+++ b/review/stand-ins-2/src/case_owner.rs
@@ -38,6 +38,9 @@
 
 const CUT_FOR: Duration = Duration::from_secs(6);
 
+/// An attempt that was given up may count as out for this long.
+const UNNOTICED: Duration = Duration::from_millis(50);
+
 /// One attempt at a backend.
 struct Attempt {
     id: String,
@@ -274,7 +277,9 @@
         record.note(format!("client sends {id}"));
         let reply = peer.write(&request.bytes()).and_then(|()| peer.read());
         drop(peer);
-        lock(&seen.gone).insert(id.clone(), Instant::now());
+        if reply.is_ok() {
+            lock(&seen.gone).insert(id.clone(), Instant::now());
+        }
         match reply {
             Ok(reply) => record.note(format!("client has {} for {id}, and closes", reply.status())),
             Err(error) => record.note(format!("client has no answer for {id}: {error}")),
@@ -287,8 +292,9 @@
     let (attempts, gone) = (lock(&seen.attempts), lock(&seen.gone));
     let (mut at_once, mut after_end) = (0, 0);
     for (place, later) in attempts.iter().enumerate() {
+        // A backend notices within 20 ms that its connection was closed.
         let overlaps = |earlier: &&Attempt| {
-            earlier.id == later.id && earlier.ended.is_none_or(|ended| ended > later.began)
+            earlier.id == later.id && earlier.ended.is_none_or(|ended| ended > later.began + UNNOTICED)
         };
         if let Some(earlier) = attempts[..place].iter().find(overlaps) {
             at_once += 1;
@@ -316,11 +322,10 @@
         gone.len(),
         attempts.len()
     ));
-    match at_once + after_end {
-        0 if gone.len() < 50 => Err("too few requests were sent".into()),
+    // Second copies are noted, and do not decide: the claim is about attempts after the close.
+    match after_end {
+        0 if gone.len() < 50 => Err("too few requests were answered".into()),
         0 => Ok(Verdict::Held),
-        _ => Ok(Verdict::Broken(format!(
-            "{at_once} second copies out at once, {after_end} attempts after the client had gone"
-        ))),
+        _ => Ok(Verdict::Broken(format!("{after_end} attempts began after the client had gone"))),
     }
 }
--- a/review/stand-ins-2/src/case_slow_reader.rs
+++ b/review/stand-ins-2/src/case_slow_reader.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 const BACKENDS: usize = 8;
-const WORK: Duration = Duration::from_millis(100);
+const WORK: Duration = Duration::from_millis(200);
 /// Length of an answer: a quarter of the longest that occurs.
 const LENGTH: usize = 8 << 20;
 /// Clients at once; with 256 descriptors they may hold 85.
@@ -20,6 +20,8 @@
 /// A client reads one piece in each interval: 80 kB a second.
 const PIECE: usize = 6_400;
 const INTERVAL: Duration = Duration::from_millis(80);
+/// A reader that was held up for longer, by a slow machine, does not count.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// How long it reads slowly; then it reads the rest as fast as it comes.
 const SLOW_FOR: Duration = Duration::from_secs(40);
 
@@ -60,36 +62,40 @@
         fleet: None,
     };
     let gateway = Gateway::start_ready(&spec, &discovery, &counter)?;
-    let (whole, refused, cut) = (AtomicUsize::new(0), AtomicUsize::new(0), AtomicUsize::new(0));
+    let (whole, refused) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let (cut, held_up) = (AtomicUsize::new(0), AtomicUsize::new(0));
     thread::scope(|scope| {
         for number in 0..CLIENTS {
-            let (record, gateway, whole, refused, cut, slow) =
-                (&record, &gateway, &whole, &refused, &cut, run.trouble);
+            let (record, gateway, slow) = (&record, &gateway, run.trouble);
+            let (whole, refused, cut, held_up) = (&whole, &refused, &cut, &held_up);
             scope.spawn(move || {
                 thread::sleep(Duration::from_millis(100 * number as u64));
                 let id = new_id();
                 match client(record, gateway, number, &id, slow) {
                     Ok(true) => whole.fetch_add(1, Ordering::SeqCst),
                     Ok(false) => refused.fetch_add(1, Ordering::SeqCst),
-                    Err(what) => {
+                    Err(Cut { what, longest_pause }) => {
                         record.note(format!("client lost {id}: {what}"));
-                        cut.fetch_add(1, Ordering::SeqCst)
+                        let count = if longest_pause > LONGEST_PAUSE { held_up } else { cut };
+                        count.fetch_add(1, Ordering::SeqCst)
                     }
                 };
             });
         }
     });
-    let (whole, refused, cut) = (whole.into_inner(), refused.into_inner(), cut.into_inner());
+    let (whole, refused) = (whole.into_inner(), refused.into_inner());
+    let (cut, held_up) = (cut.into_inner(), held_up.into_inner());
     for line in
         gateway.stats().lines().filter(|line| line.contains("client_closes") || line.contains("memory"))
     {
         record.note(line);
     }
     record.say(format!(
-        "{CLIENTS} answers of {LENGTH} bytes: {whole} whole, {refused} refused or failed, {cut} cut off"
+        "{CLIENTS} answers of {LENGTH} bytes: {whole} whole, {refused} refused or failed, {cut} cut off, {held_up} cut off after a pause of their reader"
     ));
     match cut {
         0 if whole == 0 => Err("no answer was given at all".into()),
+        0 if held_up > 0 => Err("the readers were held up".into()),
         0 => Ok(Verdict::Held),
         _ => Ok(Verdict::Broken(format!(
             "{cut} of {CLIENTS} answers were cut off while their clients read them"
@@ -98,7 +104,7 @@
 }
 
 /// Reads one answer. Returns whether it was served, or how it was cut off.
-fn client(record: &Record, gateway: &Gateway, number: usize, id: &str, slow: bool) -> Result<bool, String> {
+fn client(record: &Record, gateway: &Gateway, number: usize, id: &str, slow: bool) -> Result<bool, Cut> {
     let request = Request {
         class: "batch-thumbs",
         id,
@@ -127,24 +133,34 @@
             next += INTERVAL;
             crate::http::sleep_until(next);
         }
+        // Only what the reader itself was late counts, not a wait for bytes.
         longest_pause = longest_pause.max(read_at.elapsed());
-        let want = PIECE.min(LENGTH - received);
-        let got = peer.reader.read(&mut piece[..want]);
-        read_at = Instant::now();
-        match got {
-            Ok(0) => return Err(ended("ended", received, begun, longest_pause)),
-            Ok(length) => received += length,
-            Err(error) => return Err(ended(&error.to_string(), received, begun, longest_pause)),
+        let (want, mut filled) = (PIECE.min(LENGTH - received), 0);
+        while filled < want {
+            match peer.reader.read(&mut piece[filled..want]) {
+                Ok(0) => return Err(ended("ended", received + filled, begun, longest_pause)),
+                Ok(length) => filled += length,
+                Err(error) => return Err(ended(&error.to_string(), received + filled, begun, longest_pause)),
+            }
         }
+        received += filled;
+        read_at = Instant::now();
     }
     record.note(format!("client has all of {id} after {} ms", begun.elapsed().as_millis()));
     Ok(true)
 }
 
-fn ended(how: &str, received: usize, begun: Instant, longest_pause: Duration) -> String {
-    format!(
+/// How an answer was cut off.
+struct Cut {
+    what: String,
+    longest_pause: Duration,
+}
+
+fn ended(how: &str, received: usize, begun: Instant, longest_pause: Duration) -> Cut {
+    let what = format!(
         "the connection {how} after {received} of {LENGTH} bytes, {} ms after the first; the longest pause of its reader was {} ms",
         begun.elapsed().as_millis(),
         longest_pause.as_millis()
-    )
+    );
+    Cut { what, longest_pause }
 }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -2,7 +2,6 @@
 
 mod case_late_second_answer;
 mod case_maintenance_before_takeover;
-mod case_never_ending;
 mod case_owner;
 mod case_slow_reader;
 mod http;
@@ -62,7 +61,6 @@
         "upgrade-owner" => case_owner::play(run, case_owner::Disruption::Upgrade),
         "late-second-answer" => case_late_second_answer::play(run),
         "maintenance-before-takeover" => case_maintenance_before_takeover::play(run),
-        "never-ending" => case_never_ending::play(run),
         "slow-reader" => case_slow_reader::play(run),
         other => Err(format!("no case is named {other}").into()),
     }
--- a/review/stand-ins-2/src/platform.rs
+++ b/review/stand-ins-2/src/platform.rs
@@ -47,12 +47,16 @@
 /// A folder that is removed at the end.
 pub struct Folder(pub PathBuf);
 
+/// Folders that are not removed yet.
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
 impl Folder {
     pub fn new() -> Result<Folder, Failure> {
         static NEXT: AtomicU64 = AtomicU64::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("review-2-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&path)?;
+        lock(&FOLDERS).push(path.clone());
         Ok(Folder(path))
     }
 }
@@ -328,6 +332,9 @@
         for pid in lock(&PROCESSES).iter() {
             signal(*pid, "KILL");
         }
+        for folder in lock(&FOLDERS).iter() {
+            let _ = std::fs::remove_dir_all(folder);
+        }
         std::process::exit(2);
     });
 }
@@ -374,9 +381,9 @@
             }
         }
         command.stdout(Stdio::null()).stderr(log);
-        let child = command.spawn()?;
-        note_process(child.id())?;
-        Ok(Gateway { child, listen: spec.listen, ops })
+        let gateway = Gateway { child: command.spawn()?, listen: spec.listen, ops };
+        note_process(gateway.child.id())?;
+        Ok(gateway)
     }
 
     /// Starts a gateway and waits until it is ready. A port that was free may have been taken since then, so that a start
