Leave no folder behind where a case is ended from outside

Cause: a run that got SIGTERM left its temporary folder.

Change: run-case.sh makes one folder for all that a run writes besides its record, and removes it in each case.

--- a/review/stand-ins-2/run-case.sh
+++ b/review/stand-ins-2/run-case.sh
@@ -9,18 +9,21 @@
     echo "build the gateway and run review/build-2.sh first" >&2
     exit 2
 fi
-pids=$(mktemp) || exit 2
+# All that a run writes besides the record; the numbers of its processes are in `pids`.
+own=$(mktemp -d) || exit 2
+: > "$own/pids"
 # Ends what is left if the stand-ins were ended from outside; they end their gateways themselves otherwise.
 stop() {
-    kill -KILL "$player" $(cat "$pids") 2>/dev/null
-    rm -f "$pids"
+    kill -KILL "$player" $(cat "$own/pids") 2>/dev/null
+    wait
+    rm -rf "$own"
     exit 2
 }
 trap stop INT TERM HUP
-REVIEW_ROOT=$root REVIEW_PIDS=$pids "$program" "$name" "$folder" &
+TMPDIR=$own REVIEW_ROOT=$root REVIEW_PIDS=$own/pids "$program" "$name" "$folder" &
 player=$!
 wait "$player"
 status=$?
 [ "$status" -le 2 ] || stop
-rm -f "$pids"
+rm -rf "$own"
 exit "$status"
