Keep clients that read steadily while transfers are scarce

What callers saw: long answers broke off half way although their clients read them steadily, once few more answers could be streamed.

Cause: a client counted as one that reads nothing since its last write had begun to wait. A write waits until the system reports room, which takes a third of the send buffer: some 16 s at 80 kB a second. While fewer than an eighth of the transfers were free, every connection whose write had waited for 2 s was closed. The limit of 30 s for a client that takes nothing counted in the same way.

Mend: what the client's system has acknowledged is looked at every 0.1 s. A client is silent once it has taken nothing for 2 s and for the time that a reader at the minimum rate needs for what it took before, at most 10 s. Of the silent ones only as many are closed as are needed, the longest silent first. The limit of 30 s counts from the last acknowledged byte.

The 28 tests of memory_limit, connection_close, slow_*, accept_wait and floods passed.

--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -28,6 +28,7 @@
 mod ids;
 mod load_balancing;
 mod quota_lease;
+mod read_progress;
 mod request;
 mod retry;
 mod routing;
@@ -48,6 +49,7 @@
     CellId, ClassId, CounterKey, CustomerId, EndpointId, LabelId, PlanId, RequestId, TimerId, ZoneId,
 };
 pub use quota_lease::QuotaLease;
+pub use read_progress::{ReadProgress, NANOS_PER_CLIENT_BYTE};
 pub use routing::has_canary_rules;
 pub use routing_rules::{RouteRule, RoutingRules};
 pub use settings::{Class, DeduplicationScope, Idempotency, Plan, Settings, SettingsError};
--- a/src/proxy/downstream/client_socket.rs
+++ b/src/proxy/downstream/client_socket.rs
@@ -7,12 +7,12 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::coop::has_budget_remaining;
-use tokio::time::{sleep, Sleep};
+use tokio::time::{sleep, Instant, Sleep};
 
 /// A client that reads nothing of its response for this long is considered gone.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
@@ -22,7 +22,7 @@
     stream: Rc<TcpStream>,
     connection: Rc<ClientConnection>,
     registry: Rc<IdleConnections>,
-    /// Runs while a write waits because the client reads nothing.
+    /// Runs while a write waits for the client.
     write_stall_timer: Option<Pin<Box<Sleep>>>,
 }
 
@@ -43,16 +43,28 @@
 
     fn after_write(&mut self, result: Poll<io::Result<usize>>, cx: &mut Context) -> Poll<io::Result<usize>> {
         self.connection.set_has_unwritten_bytes(true);
-        self.connection.set_write_waits(result.is_pending());
-        if result.is_ready() {
-            self.write_stall_timer = None;
-            return result;
+        if result.is_pending() {
+            self.connection.output().waits();
+            return self.poll_write_stall(cx).map(|()| Err(io::ErrorKind::TimedOut.into()));
         }
-        let write_stall_timer =
-            self.write_stall_timer.get_or_insert_with(|| Box::pin(sleep(WRITE_STALL_TIMEOUT)));
-        match write_stall_timer.as_mut().poll(cx) {
-            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
-            Poll::Pending => Poll::Pending,
+        if let Poll::Ready(Ok(length)) = result {
+            self.connection.output().written(length);
+        }
+        self.write_stall_timer = None;
+        result
+    }
+
+    /// Completes once the client has read nothing for `WRITE_STALL_TIMEOUT`.
+    fn poll_write_stall(&mut self, cx: &mut Context) -> Poll<()> {
+        let timer = self.write_stall_timer.get_or_insert_with(|| Box::pin(sleep(WRITE_STALL_TIMEOUT)));
+        loop {
+            ready!(timer.as_mut().poll(cx));
+            // A write may wait for longer although the client reads: the system reports room in large steps.
+            let stalled_at = self.connection.output().last_progress() + WRITE_STALL_TIMEOUT;
+            if Instant::now() >= stalled_at {
+                return Poll::Ready(());
+            }
+            timer.as_mut().reset(stalled_at);
         }
     }
 }
--- a/src/proxy/downstream/connection/tests.rs
+++ b/src/proxy/downstream/connection/tests.rs
@@ -48,7 +48,7 @@
         let lifecycle = Rc::new(Lifecycle::default());
         lifecycle.mark_endpoints_known();
         lifecycle.start_serving();
-        let idle_connections = Rc::new(IdleConnections::new(lifecycle.clone()));
+        let idle_connections = Rc::new(IdleConnections::new(lifecycle.clone(), Clock::start()));
         let accepted = AcceptedConnection::new(stream);
         tokio::task::spawn_local(serve_connection(accepted, Rc::new(context(lifecycle)), idle_connections));
         let mut client = tokio::net::UnixStream::from_std(client_socket).expect("a stream");
--- a/src/proxy/downstream/idle_connections.rs
+++ b/src/proxy/downstream/idle_connections.rs
@@ -1,12 +1,13 @@
 //! Client connections: how long each may stay open without a request, and which is closed first when permits are scarce.
 
 use super::client_input::ClientInput;
+use super::client_output::ClientOutput;
 use super::client_socket::ClientSocket;
 use super::listener::AcceptedConnection;
-use crate::decision::EvictionLimits;
+use crate::decision::{EvictionLimits, Micros};
 use crate::proxy::admin::metrics::ConnectionCloseReason;
 use crate::proxy::lifecycle::drain::Lifecycle;
-use crate::proxy::runtime::clock::duration;
+use crate::proxy::runtime::clock::{duration, micros, Clock};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -48,12 +49,11 @@
     head_deadline: Cell<Instant>,
     /// Whether part of a response is not written yet.
     has_unwritten_bytes: Cell<bool>,
-    /// Since when the client has read nothing of its response, if a write waits for it.
-    unread_since: Cell<Option<Instant>>,
     /// Why the connection is to be closed, unless bytes arrive first.
     close_reason: Cell<Option<ConnectionCloseReason>>,
     close_notify: Notify,
     input: Rc<ClientInput>,
+    output: ClientOutput,
 }
 
 impl ClientConnection {
@@ -71,26 +71,26 @@
     pub fn input(&self) -> &Rc<ClientInput> {
         &self.input
     }
+    /// What the client has taken of its responses.
+    pub fn output(&self) -> &ClientOutput {
+        &self.output
+    }
     /// Sets whether part of a response is not written yet.
     pub fn set_has_unwritten_bytes(&self, unwritten: bool) {
         self.has_unwritten_bytes.set(unwritten);
     }
-    /// Records whether a write waits because the client reads nothing.
-    pub fn set_write_waits(&self, waits: bool) {
-        let since = self.unread_since.get().filter(|_| waits);
-        self.unread_since.set(since.or_else(|| waits.then(Instant::now)));
-    }
     fn request_close(&self, reason: ConnectionCloseReason) {
         self.close_reason.set(Some(reason));
         self.close_notify.notify_one();
     }
-    /// Returns whether the client has sent nothing of the body of its open request for long enough.
-    fn has_stalled_body(&self, now: Instant, limits: EvictionLimits) -> bool {
-        self.input.waited_since().is_some_and(|since| now >= since + duration(limits.body))
+    /// Returns for how long the client has sent nothing of the body of its open request, if that is long enough.
+    fn body_inactivity(&self, limits: EvictionLimits) -> Option<Micros> {
+        let waited = micros(self.input.waited_since()?.elapsed());
+        Some(waited).filter(|waited| *waited >= limits.body)
     }
-    /// Returns whether the client has read nothing of its response for long enough.
-    fn has_unread_response(&self, now: Instant, limits: EvictionLimits) -> bool {
-        self.unread_since.get().is_some_and(|since| now >= since + duration(limits.unread))
+    /// Returns for how long the client has read nothing of its response, if that is long enough.
+    fn read_inactivity(&self, limits: EvictionLimits) -> Option<Micros> {
+        self.output.silence(limits.unread)
     }
     fn key(&self) -> (Instant, u64) {
         (self.last_activity.get(), self.id)
@@ -102,6 +102,7 @@
 /// All connections by phase, the longest inactive first.
 pub struct IdleConnections {
     lifecycle: Rc<Lifecycle>,
+    clock: Clock,
     last_id: Cell<u64>,
     new_connections: RefCell<ByLastActivity>,
     reading_head: RefCell<ByLastActivity>,
@@ -111,10 +112,10 @@
 
 impl IdleConnections {
     /// Returns a registry without connections.
-    pub fn new(lifecycle: Rc<Lifecycle>) -> IdleConnections {
+    pub fn new(lifecycle: Rc<Lifecycle>, clock: Clock) -> IdleConnections {
         let (new_connections, reading_head, idle, request_open) = Default::default();
         let last_id = Cell::new(0);
-        IdleConnections { lifecycle, last_id, new_connections, reading_head, idle, request_open }
+        IdleConnections { lifecycle, clock, last_id, new_connections, reading_head, idle, request_open }
     }
 
     /// Adds a connection that was accepted.
@@ -123,19 +124,21 @@
         accepted: AcceptedConnection,
     ) -> (Rc<ClientConnection>, ClientSocket) {
         self.last_id.set(self.last_id.get() + 1);
+        let input = Rc::new(ClientInput::new(&accepted));
+        let stream = Rc::new(accepted.stream);
         let connection = Rc::new(ClientConnection {
             id: self.last_id.get(),
             phase: Cell::new(Phase::New),
             last_activity: Cell::new(Instant::now()),
             head_deadline: Cell::new(accepted.last_arrival + HEAD_TIMEOUT),
             has_unwritten_bytes: Cell::new(false),
-            unread_since: Cell::new(None),
             close_reason: Cell::new(None),
             close_notify: Notify::new(),
-            input: Rc::new(ClientInput::new(&accepted)),
+            input,
+            output: ClientOutput::new(self.clock, &stream),
         });
         self.new_connections.borrow_mut().insert(connection.key(), connection.clone());
-        let socket = ClientSocket::new(Rc::new(accepted.stream), connection.clone(), self.clone());
+        let socket = ClientSocket::new(stream, connection.clone(), self.clone());
         (connection, socket)
     }
 
@@ -193,8 +196,11 @@
         OpenRequestGuard { registry: self.clone(), connection: connection.clone(), is_pipelined }
     }
 
-    /// Closes the connections whose time-out has expired.
+    /// Looks at what clients have taken of their responses, and closes the connections whose time-out has expired.
     pub fn sweep(&self) {
+        for connections in [&self.request_open, &self.idle] {
+            connections.borrow().values().for_each(|connection| connection.output.observe_if_waiting());
+        }
         let (now, idle_timeout) = (Instant::now(), self.lifecycle.idle_timeout());
         for connections in [&self.new_connections, &self.reading_head] {
             connections
@@ -217,8 +223,8 @@
     pub fn evict_one(&self, limits: EvictionLimits) -> bool {
         let now = Instant::now();
         self.evict_without_request(now, limits)
-            || self.evict_open(|connection| connection.has_stalled_body(now, limits))
-            || self.evict_open(|connection| connection.has_unread_response(now, limits))
+            || self.evict_open(|connection| connection.body_inactivity(limits))
+            || self.evict_open(|connection| connection.read_inactivity(limits))
     }
 
     /// Closes all connections that [`IdleConnections::evict_one`] would close one after the other.
@@ -226,23 +232,24 @@
         while self.evict_one(limits) {}
     }
 
-    /// Closes the connections whose response is not read for long enough.
-    pub fn evict_unread(&self, limits: EvictionLimits) {
-        let now = Instant::now();
-        while self.evict_open(|connection| connection.has_unread_response(now, limits)) {}
+    /// Closes at most `count` connections whose response is not read for long enough.
+    pub fn evict_unread(&self, count: usize, limits: EvictionLimits) {
+        let has_evicted = |_: &usize| self.evict_open(|connection| connection.read_inactivity(limits));
+        let _ = (0..count).take_while(has_evicted).count();
     }
 
     /// Closes the connections whose client has sent nothing of its body for long enough.
     pub fn evict_stalled_bodies(&self, limits: EvictionLimits) {
-        let now = Instant::now();
-        while self.evict_open(|connection| connection.has_stalled_body(now, limits)) {}
+        while self.evict_open(|connection| connection.body_inactivity(limits)) {}
     }
 
-    fn evict_open(&self, is_stalled: impl Fn(&ClientConnection) -> bool) -> bool {
+    /// Closes the connection with an open request that has been inactive for longest. Returns whether any was.
+    fn evict_open(&self, inactivity: impl Fn(&ClientConnection) -> Option<Micros>) -> bool {
         let mut open = self.request_open.borrow_mut();
-        let stalled = open.iter().find(|(_, connection)| is_stalled(connection)).map(|(key, _)| *key);
+        let inactive = open.iter().filter_map(|(key, connection)| Some((inactivity(connection)?, *key)));
+        let longest_inactive = inactive.max_by_key(|(inactivity, _)| *inactivity).map(|(_, key)| key);
         // Removed from the list, so that the next call finds another connection.
-        let Some(connection) = stalled.and_then(|key| open.remove(&key)) else { return false };
+        let Some(connection) = longest_inactive.and_then(|key| open.remove(&key)) else { return false };
         connection.request_close(ConnectionCloseReason::Evicted);
         true
     }
@@ -277,15 +284,15 @@
 }
 
 impl std::fmt::Debug for ClientConnection {
-    /// Writes what a log line needs: number, state, input, and how long the client has read nothing.
+    /// Writes what a log line needs.
     fn fmt(&self, formatter: &mut std::fmt::Formatter) -> std::fmt::Result {
         formatter
             .debug_struct("ClientConnection")
             .field("number", &self.id)
             .field("phase", &self.phase.get())
             .field("for", &self.last_activity.get().elapsed())
-            .field("unread_for", &self.unread_since.get().map(|since| since.elapsed()))
             .field("input", &self.input)
+            .field("output", &self.output)
             .finish()
     }
 }
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod accept;
 pub(crate) mod client_input;
+mod client_output;
 pub(crate) mod client_response;
 pub(crate) mod client_socket;
 pub(crate) mod close;
--- a/src/proxy/downstream/request_body.rs
+++ b/src/proxy/downstream/request_body.rs
@@ -3,6 +3,7 @@
 
 use super::client_input::ClientInput;
 use super::wake_flag::WakeFlag;
+use crate::decision::NANOS_PER_CLIENT_BYTE;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -18,8 +19,6 @@
 
 /// Longest body that a client may send, in bytes.
 pub const MAX_REQUEST_BODY_BYTES: usize = 32 << 20;
-/// Time allowed for each body byte, in nanoseconds: a minimum rate one fifth below the 64 kB/s promised to clients.
-const NANOS_PER_BYTE: u64 = 19_500;
 
 /// Why a body was not received completely.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -41,7 +40,7 @@
 /// Returns the longest time that a client may take to send `bytes` bytes, with `extra_wait` on top of the time for the
 /// bytes.
 fn max_transfer_time(extra_wait: Duration, bytes: usize) -> Duration {
-    extra_wait + Duration::from_nanos(bytes as u64 * NANOS_PER_BYTE)
+    extra_wait + Duration::from_nanos(bytes as u64 * NANOS_PER_CLIENT_BYTE)
 }
 
 /// Reads the body of a client's request as it arrives.
--- a/src/proxy/downstream/server.rs
+++ b/src/proxy/downstream/server.rs
@@ -88,7 +88,7 @@
     context: Rc<ProxyContext>,
     other_process_connections: watch::Receiver<usize>,
 ) {
-    let idle_connections = Rc::new(IdleConnections::new(context.lifecycle.clone()));
+    let idle_connections = Rc::new(IdleConnections::new(context.lifecycle.clone(), context.clock));
     let shutdown = Shutdown::new(context.clone());
     let refusals = Permits::new(context.memory.sockets().refused_clients());
     let sweep_interval = interval(SWEEP_INTERVAL);
@@ -187,9 +187,8 @@
     /// the successor.
     fn sweep(&self) {
         self.idle_connections.sweep();
-        if self.context.memory.transfers_are_scarce() {
-            self.idle_connections.evict_unread(EvictionLimits::default());
-        }
+        let wanted_transfers = self.context.memory.transfers_until_not_scarce();
+        self.idle_connections.evict_unread(wanted_transfers, EvictionLimits::default());
         if self.context.memory.slow_bodies_are_scarce() {
             self.idle_connections.evict_stalled_bodies(EvictionLimits::default());
         }
--- a/src/proxy/memory_budget.rs
+++ b/src/proxy/memory_budget.rs
@@ -180,9 +180,9 @@
         permit
     }
 
-    /// Returns whether few more bodies may be streamed.
-    pub fn transfers_are_scarce(&self) -> bool {
-        self.transfers.available() * SCARCE_DIVISOR < self.transfers.total()
+    /// Returns how many transfers have to end until enough more bodies may be streamed; 0 while that is the case.
+    pub fn transfers_until_not_scarce(&self) -> usize {
+        self.transfers.total().div_ceil(SCARCE_DIVISOR).saturating_sub(self.transfers.available())
     }
 
     /// Returns whether few more bodies may hold connections.
--- a/src/proxy/runtime/clock.rs
+++ b/src/proxy/runtime/clock.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 /// Monotonic clock set to Unix time at the start of the process.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct Clock {
     unix_at_start: Micros,
     start: Instant,
@@ -48,7 +48,7 @@
 }
 
 /// Converts a duration to the decision module's type.
-fn micros(span: Duration) -> Micros {
+pub fn micros(span: Duration) -> Micros {
     Micros(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
 }
 
--- a/src/proxy/tcp_io.rs
+++ b/src/proxy/tcp_io.rs
@@ -52,3 +52,21 @@
         }
     }
 }
+
+/// Returns how many of the bytes written to a stream the peer's system has not acknowledged, where this system tells
+/// (tcp(7), `SIOCOUTQ`).
+#[cfg(target_os = "linux")]
+pub fn unacknowledged_bytes(stream: &TcpStream) -> Option<u64> {
+    use std::os::fd::AsRawFd;
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open for as long as `stream` exists, and the system writes one integer.
+    #[allow(unsafe_code)]
+    let result = unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    u64::try_from(bytes).ok().filter(|_| result == 0)
+}
+
+/// Returns `None`: this system does not tell.
+#[cfg(not(target_os = "linux"))]
+pub fn unacknowledged_bytes(_: &TcpStream) -> Option<u64> {
+    None
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -18,6 +18,7 @@
 mod rollout;
 mod rollout_calls;
 mod second_answers;
+mod slow_readers;
 mod slow_uploads;
 mod system_calls;
 mod takeover;
--- a/tests/sockets/world/crowd.rs
+++ b/tests/sockets/world/crowd.rs
@@ -127,15 +127,20 @@
     request.replace("customer=00000000b4d65521", &format!("customer={customer:016x}"))
 }
 
-/// Starts a backend on a runtime of its own, which ends with the test process.
+/// Starts a backend whose long responses have 4 MiB.
 pub fn long_response_backend() -> SocketAddr {
+    backend_with_responses_of(LONG_RESPONSE_BYTES)
+}
+
+/// Starts a backend on a runtime of its own, which ends with the test process. Its long responses have this many bytes.
+pub fn backend_with_responses_of(long_response_bytes: usize) -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     listener.set_nonblocking(true).expect("the socket option is set");
     let address = listener.local_addr().expect("the socket is bound");
     std::thread::spawn(move || {
         super::on_runtime(async move {
             let listener = TcpListener::from_std(listener).expect("a listener");
-            let long: Arc<[u8]> = vec![b'y'; LONG_RESPONSE_BYTES].into();
+            let long: Arc<[u8]> = vec![b'y'; long_response_bytes].into();
             while let Ok((stream, _)) = listener.accept().await {
                 let long = long.clone();
                 // The gateway may end the connection at any time.
--- a/tests/sockets/world/mod.rs
+++ b/tests/sockets/world/mod.rs
@@ -9,7 +9,7 @@
 mod stub;
 
 pub use client::{client_over, connect, request, Client};
-pub use crowd::{long_response_backend, with_new_customer, Crowd, SlowClient};
+pub use crowd::{backend_with_responses_of, long_response_backend, with_new_customer, Crowd, SlowClient};
 pub use discovery::{backend_entry, endpoint_list, Discovery, WatchRequest};
 pub use gateway::{config, config_path, gateway_command, Gateway};
 pub use stub::{counter_stub, http, FullBacklogListener, Gate, Log, Message, Refusing, Reply, Stub};
