Answer for a record only with its quorum, and let go when the lease ends

What callers saw: requests of a gateway that was cut off from the others for 6 s were sent again by these, after their clients had their answers and had gone, and while the first attempt was out.

Cause: the others finish a request once its owner's lease has ended, as its owner may have failed. An owner that is only cut off went on: it passed on a 200 that no replica could learn of, and left attempts out beyond its lease.

The backend's record has the later attempts at other gateways, from 0.7 s after the cut.

A write that was sent and not confirmed counts as one that replicas may hold. All replicas of such a record are asked at once.

--- a/src/cluster/ledger/client.rs
+++ b/src/cluster/ledger/client.rs
@@ -31,6 +31,8 @@
         existed: bool,
         /// Whether its last owner has given it up, and answers its client itself.
         released: bool,
+        /// When the record was created, which is when its first owner claimed it.
+        created_at: Micros,
         /// Attempts of earlier owners that may have been executed.
         attempts: Vec<RecordedAttempt>,
     },
@@ -207,14 +209,20 @@
     /// before the end of its lease; before the first write is confirmed, the lease is counted from that
     /// write. Must be checked immediately before each such action.
     pub fn may_act(&self, now: Micros) -> bool {
-        let until = match self.confirmed {
+        let guard = Micros(self.record.lease().0 / LEASE_GUARD_DIVISOR);
+        self.lease_end().is_some_and(|lease_end| now + guard < lease_end)
+    }
+
+    /// Returns the end of the owner's lease, after which another claim may take the record over. Returns `None` if the
+    /// claim is not the owner.
+    pub fn lease_end(&self) -> Option<Micros> {
+        let lease_end = match self.confirmed {
             // If a quorum accepted the first write, no other claim can take the record over during this time.
             0 => self.first_write_at + self.record.lease(),
             _ => self.lease_until,
         };
-        let guard = Micros(self.record.lease().0 / LEASE_GUARD_DIVISOR);
         // A write that releases the record may have reached the replicas although no reply has come.
-        self.is_owner() && self.record.owned && now + guard < until
+        (self.is_owner() && self.record.owned).then_some(lease_end)
     }
 
     /// Handles a reply of a replica and appends the messages to send. Returns the outcome of the claim or of its last
--- a/src/cluster/ledger/client/prepare.rs
+++ b/src/cluster/ledger/client/prepare.rs
@@ -104,7 +104,13 @@
         let Some(latest) = self.latest_held().cloned() else {
             self.phase = Phase::Prepared;
             self.record_created_at = self.round_started_at;
-            return ClaimOutcome::Acquired { existed: false, released: false, attempts: Vec::new() };
+            let created_at = self.record_created_at;
+            return ClaimOutcome::Acquired {
+                existed: false,
+                released: false,
+                created_at,
+                attempts: Vec::new(),
+            };
         };
         if latest.record.request_digest != self.record.request_digest {
             self.phase = Phase::Finished;
@@ -122,7 +128,7 @@
         let attempts = latest.record.attempts.iter().map(to_recorded).collect();
         let released = !latest.record.owned;
         self.record = Record { lease_ms: self.record.lease_ms, ..latest.record };
-        ClaimOutcome::Acquired { existed: true, released, attempts }
+        ClaimOutcome::Acquired { existed: true, released, created_at: self.record_created_at, attempts }
     }
 
     fn latest_held(&self) -> Option<&RecordSnapshot> {
--- a/src/cluster/ledger/node.rs
+++ b/src/cluster/ledger/node.rs
@@ -244,6 +244,11 @@
         }
     }
 
+    /// Returns the end of the lease of a claim that owns its record.
+    pub fn lease_end(&self, claim: ClaimId) -> Option<Micros> {
+        self.claim(claim).and_then(LedgerClient::lease_end)
+    }
+
     /// Returns whether the owner of a claim's record may perform an externally visible action now.
     pub fn may_act(&self, now: Micros, claim: ClaimId) -> bool {
         self.claim(claim).is_some_and(|client| client.may_act(now))
@@ -265,8 +270,15 @@
         }
         let change = response.map_or(RecordChange::Release, RecordChange::Complete);
         self.write(now, claim, change, out);
-        if let Some(open) = self.claims.get_mut(&claim) {
-            open.released_at = Some(now);
+        self.close(now, claim);
+    }
+
+    /// Ends a claim whose record was completed or released, once its last write is confirmed or after `RELEASE_TIMEOUT`.
+    pub fn close(&mut self, now: Micros, claim: ClaimId) {
+        let Some(open) = self.claims.get_mut(&claim) else { return };
+        open.released_at = Some(now);
+        if !open.client.is_owner() || open.client.is_confirmed() {
+            self.claims.remove(&claim);
         }
     }
 
--- a/src/cluster/ledger_node.rs
+++ b/src/cluster/ledger_node.rs
@@ -134,6 +134,11 @@
         self.ledger.as_ref().is_some_and(|ledger| ledger.may_act(now, claim))
     }
 
+    /// Returns the end of the lease of a claim that owns its record.
+    pub fn lease_end(&self, claim: ClaimId) -> Option<Micros> {
+        self.ledger.as_ref().and_then(|ledger| ledger.lease_end(claim))
+    }
+
     /// Releases a claim. `response` is the response if the claim's request was completed at this gateway,
     /// otherwise `None`.
     pub fn release_claim(
@@ -146,6 +151,13 @@
         self.with_ledger(out, |ledger, effects| ledger.release(now, claim, response, effects));
     }
 
+    /// Ends a claim whose record was completed or released.
+    pub fn close_claim(&mut self, now: Micros, claim: ClaimId) {
+        if let Some(ledger) = self.ledger.as_mut() {
+            ledger.close(now, claim);
+        }
+    }
+
     pub(super) fn tick_ledger(&mut self, out: &mut Vec<Effect>) {
         let now = self.now;
         self.with_ledger(out, |ledger, effects| ledger.tick(now, effects));
--- a/src/proxy/cluster_transport/claim_progress.rs
+++ b/src/proxy/cluster_transport/claim_progress.rs
@@ -9,6 +9,8 @@
 pub struct ClaimProgress {
     /// Result of the claim; replaced by `Lost` if another owner takes over the record later.
     outcome: RefCell<Option<ClaimOutcome>>,
+    /// Whether a write of the record was sent to its replicas.
+    has_writes: Cell<bool>,
     /// Highest number of a write that a quorum of the replicas has confirmed; 0: none.
     confirmed_write: Cell<u32>,
     changed: Notify,
@@ -44,14 +46,23 @@
         )
     }
 
-    /// Whether a quorum of the replicas has confirmed this write of the record.
-    pub fn is_confirmed(&self, write: u32) -> bool {
-        self.confirmed_write.get() >= write
+    /// Returns whether a quorum of the replicas has confirmed this write of the record, or `None` as long as that is open.
+    pub fn write_result(&self, write: u32) -> Option<bool> {
+        match self.is_lost() {
+            true => Some(false),
+            false => (self.confirmed_write.get() >= write).then_some(true),
+        }
+    }
+
+    /// Records that a write of the record was sent to its replicas.
+    pub fn write_sent(&self) {
+        self.has_writes.set(true);
+        self.changed.notify_waiters();
     }
 
-    /// Whether a quorum of the replicas has confirmed any write of the record.
+    /// Whether a write of the record was sent to its replicas, any of which may have accepted it.
     pub fn has_writes(&self) -> bool {
-        self.confirmed_write.get() > 0
+        self.has_writes.get()
     }
 
     /// Waits until `ready` returns a value, and returns it.
--- a/src/proxy/cluster_transport/claims.rs
+++ b/src/proxy/cluster_transport/claims.rs
@@ -7,6 +7,7 @@
 use crate::cluster::ledger::{ClaimId, RecordChange, RecordId};
 use crate::cluster::{ClusterNode, Effect, Micros};
 use std::rc::Rc;
+use tokio::time::Instant;
 
 impl ClusterTransport {
     /// Whether this gateway has a ledger.
@@ -55,6 +56,8 @@
         let claim = node.open_claim(self.clock.now(), id, digest, effects)?;
         if let Some(request) = request {
             node.attach_request(claim, request);
+            // Where others may act for this gateway once its lease ends, the failure of one replica must not end it.
+            node.contact_all_replicas(self.clock.now(), claim, effects);
         }
         Some(claim)
     }
@@ -93,17 +96,25 @@
         self.with_node(claim.participation, |node, now, _| node.may_act(now, claim.id)).unwrap_or(false)
     }
 
+    /// Returns the end of the lease of a claim that owns its record.
+    pub(super) fn lease_end(&self, claim: ClaimHandle) -> Option<Instant> {
+        let lease_end = self.with_node(claim.participation, |node, _, _| node.lease_end(claim.id)).flatten();
+        lease_end.map(|lease_end| self.clock.instant_at(lease_end))
+    }
+
     /// Removes an attempt at this endpoint from the record: it is certain that it never ran.
     pub(super) fn remove_attempt(&self, claim: ClaimHandle, endpoint: u64) {
         self.with_node(claim.participation, |node, _, _| node.remove_attempt(claim.id, endpoint));
     }
 
-    /// Releases a claim when its request ends here, with the response if there is one.
-    pub(super) fn release_claim(&self, claim: ClaimHandle, response: Option<Vec<u8>>) {
-        let release = |node: &mut ClusterNode, now, out: &mut Vec<Effect>| {
-            node.release_claim(now, claim.id, response, out);
-        };
-        self.with_node(claim.participation, release);
+    /// Releases a claim when its request ends here without a response.
+    pub(super) fn release_claim(&self, claim: ClaimHandle) {
+        self.with_node(claim.participation, |node, now, out| node.release_claim(now, claim.id, None, out));
+    }
+
+    /// Ends a claim whose record was completed or released.
+    pub(super) fn close_claim(&self, claim: ClaimHandle) {
+        self.with_node(claim.participation, |node, now, _| node.close_claim(now, claim.id));
     }
 
     /// Stops tracking a claim that no request waits for.
--- a/src/proxy/cluster_transport/ledger_claim.rs
+++ b/src/proxy/cluster_transport/ledger_claim.rs
@@ -9,7 +9,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// Time after which all replicas are contacted, not only a first quorum. A promise counts only if it arrives within
 /// `ROUND_TRIP_LIMIT`, so this has to be well below that limit.
@@ -23,6 +23,20 @@
 /// Time after the end of the owner's lease at which the record is polled at the latest, before jitter.
 const LEASE_END_MARGIN_US: u64 = 1000;
 
+/// How giving a record up ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReleaseResult {
+    /// A quorum has confirmed it: no other gateway will continue the request.
+    Confirmed,
+    /// Another owner has taken over the record.
+    Lost {
+        /// Whether the request was completed under this claim, which replicas may go on reporting.
+        completed: bool,
+    },
+    /// The claim may not write the record.
+    NotWritten,
+}
+
 /// The ledger claim of a request. Dropping it releases the record, so that another gateway may continue the request.
 pub struct LedgerClaim {
     cluster: Rc<ClusterTransport>,
@@ -34,6 +48,8 @@
     unprotected: Cell<bool>,
     /// Whether the response was stored in the record.
     completed: Cell<bool>,
+    /// Number of the write with which the record was completed or released.
+    last_write: Cell<Option<u32>>,
 }
 
 impl LedgerClaim {
@@ -45,7 +61,15 @@
         timeout: Duration,
     ) -> LedgerClaim {
         let (unprotected, completed) = (Cell::new(false), Cell::new(false));
-        LedgerClaim { cluster, handle, progress, timeout, unprotected, completed }
+        LedgerClaim {
+            cluster,
+            handle,
+            progress,
+            timeout,
+            unprotected,
+            completed,
+            last_write: Cell::new(None),
+        }
     }
 
     /// Waits for the result of the claim. If the replicas do not reply within the time-out, the result is
@@ -86,6 +110,22 @@
         self.progress.wait(|progress| progress.is_lost().then_some(())).await;
     }
 
+    /// Waits until other gateways may act for this one: another owner takes over the record, or the lease of this one has
+    /// ended. As long as no write was sent, none may.
+    pub async fn wait_until_lapsed(&self) {
+        loop {
+            self.progress.wait(|progress| (progress.is_lost() || progress.has_writes()).then_some(())).await;
+            let Some(lease_end) = self.cluster.lease_end(self.handle) else { return };
+            if lease_end <= Instant::now() {
+                return;
+            }
+            tokio::select! {
+                () = self.wait_until_lost() => return,
+                () = sleep_until(lease_end) => {}
+            }
+        }
+    }
+
     fn mark_unprotected(&self) {
         if !self.unprotected.replace(true) {
             self.cluster.count_unprotected(self.handle);
@@ -106,15 +146,11 @@
             }
             _ => return false,
         }
-        let Some(write) = self.cluster.write_claim(self.handle, RecordChange::AddAttempt(endpoint)) else {
+        let Some(write) = self.write(RecordChange::AddAttempt(endpoint)) else {
             // The promise has expired, or the record already lists the maximum number of attempts.
             return self.may_act();
         };
-        let confirmed = |progress: &ClaimProgress| match progress.is_lost() {
-            true => Some(false),
-            false => progress.is_confirmed(write).then_some(true),
-        };
-        match self.wait_for_replicas(confirmed).await {
+        match self.wait_for_replicas(|progress| progress.write_result(write)).await {
             Some(may_send) => may_send,
             None => {
                 self.cluster.count_unprotected(self.handle);
@@ -128,18 +164,32 @@
         self.unprotected.get() || self.cluster.may_act(self.handle)
     }
 
-    /// Gives the record up, so that no other gateway continues the request. Returns whether none will: a quorum has learned
-    /// of it, or nothing was written that another gateway could continue.
-    pub async fn give_up(&self) -> bool {
-        if self.unprotected.get() || !self.cluster.may_act(self.handle) {
-            return !self.progress.has_writes();
+    fn write(&self, change: RecordChange) -> Option<u32> {
+        let write = self.cluster.write_claim(self.handle, change)?;
+        self.progress.write_sent();
+        Some(write)
+    }
+
+    /// Whether the claim has acquired a record that earlier owners have written.
+    pub fn has_earlier_writes(&self) -> bool {
+        matches!(self.progress.outcome(), Some(ClaimOutcome::Acquired { existed: true, .. }))
+    }
+
+    /// Whether another gateway may know of the request from its record.
+    pub fn has_writes(&self) -> bool {
+        self.progress.has_writes()
+    }
+
+    /// Gives the record up, unless it was completed, so that no other gateway continues the request. Returns once a quorum
+    /// has confirmed that, or can't any more.
+    pub async fn confirm_release(&self) -> ReleaseResult {
+        let write = self.last_write.get().or_else(|| self.write(RecordChange::Release));
+        self.last_write.set(write);
+        let Some(write) = write else { return ReleaseResult::NotWritten };
+        match self.progress.wait(|progress| progress.write_result(write)).await {
+            true => ReleaseResult::Confirmed,
+            false => ReleaseResult::Lost { completed: self.completed.get() },
         }
-        let Some(write) = self.cluster.write_claim(self.handle, RecordChange::Release) else { return false };
-        let confirmed = |progress: &ClaimProgress| match progress.is_lost() {
-            true => Some(false),
-            false => progress.is_confirmed(write).then_some(true),
-        };
-        self.wait_for_replicas(confirmed).await.unwrap_or(false)
     }
 
     /// Called when an attempt at this endpoint has ended. Removes the attempt from the record if it never ran.
@@ -151,16 +201,18 @@
 
     /// Stores the response in the record, so that a retry of the client gets the same response.
     pub fn complete(&self, response: &[u8]) {
-        if !self.completed.replace(true) {
-            self.cluster.release_claim(self.handle, Some(response.to_vec()));
+        // Without a write, the request has run without a record.
+        if !self.completed.replace(true) && self.progress.has_writes() {
+            self.last_write.set(self.write(RecordChange::Complete(response.to_vec())));
         }
     }
 }
 
 impl Drop for LedgerClaim {
     fn drop(&mut self) {
-        if !self.completed.get() {
-            self.cluster.release_claim(self.handle, None);
+        match self.last_write.get() {
+            Some(_) => self.cluster.close_claim(self.handle),
+            None => self.cluster.release_claim(self.handle),
         }
         self.cluster.remove_claim(self.handle);
     }
--- a/src/proxy/cluster_transport/mod.rs
+++ b/src/proxy/cluster_transport/mod.rs
@@ -166,10 +166,16 @@
             *self.node.borrow_mut() = None;
             *self.socket.borrow_mut() = None;
             *self.disk.borrow_mut() = None;
-            self.claims.borrow_mut().clear();
+            self.end_claims();
         }
     }
 
+    /// Reports all open claims as lost, as this process does not participate any more.
+    fn end_claims(&self) {
+        let claims = std::mem::take(&mut *self.claims.borrow_mut());
+        claims.values().for_each(|claim| claim.resolve(ClaimOutcome::Lost));
+    }
+
     /// Opens the socket as soon as the predecessor has closed it.
     async fn open_when_free(&self) -> UdpSocket {
         let mut logged = false;
--- a/src/proxy/cluster_transport/serialized_request.rs
+++ b/src/proxy/cluster_transport/serialized_request.rs
@@ -30,9 +30,19 @@
     postcard::to_allocvec(&request).ok()
 }
 
-/// Deserializes a request. Its time budget is the full deadline of its class, since no client waits for it. Returns
-/// `None` if the bytes are invalid or the request does not match this gateway's configuration.
-pub fn deserialize(context: &ProxyContext, bytes: &[u8]) -> Option<(RequestHead, ForwardedRequest)> {
+/// A request that was stored or replicated.
+pub struct DeserializedRequest {
+    /// Its head. The time budget is the full deadline of its class.
+    pub head: RequestHead,
+    /// The request as forwarded to backends.
+    pub forward: ForwardedRequest,
+    /// Time budget that its client gave it.
+    pub client_budget: Micros,
+}
+
+/// Deserializes a request. Returns `None` if the bytes are invalid or the request does not match this gateway's
+/// configuration.
+pub fn deserialize(context: &ProxyContext, bytes: &[u8]) -> Option<DeserializedRequest> {
     let request: SerializedRequest = postcard::from_bytes(bytes).ok()?;
     let mut headers = HeaderMap::new();
     for (name, value) in &request.headers {
@@ -41,7 +51,9 @@
     let method: Method = request.method.parse().ok()?;
     let uri: Uri = request.uri.parse().ok()?;
     let mut head = RequestHead::read(&method, uri.query(), &headers, &context.rules).ok()?;
+    let client_budget = head.budget;
     head.budget = context.rules.deadline(head.arrival.class).max(Micros(1));
     let body = RequestPayload::Buffered(Bytes::from(request.body));
-    Some((head, ForwardedRequest::new(method, uri, headers, body)))
+    let forward = ForwardedRequest::new(method, uri, headers, body);
+    Some(DeserializedRequest { head, forward, client_budget })
 }
--- a/src/proxy/cluster_transport/write_queue_sender.rs
+++ b/src/proxy/cluster_transport/write_queue_sender.rs
@@ -1,11 +1,11 @@
 //! Writes of an isolated branch: offers requests to the write queue, reports the status of writes to clients, and
 //! forwards queued writes when the queue releases them.
 
-use super::abandoned_requests::{resume, AbandonedOutcome, ReleasedRecord};
+use super::abandoned_requests::{resume, AbandonedOutcome, LastOwner, ReleasedRecord};
 use super::ledger_request::{serve_recorded, RecordedRequest};
 use super::outcome_recorder::OutcomeRecorder;
 use super::queued_write::QueuedWrite;
-use super::serialized_request::{deserialize, serialize};
+use super::serialized_request::{deserialize, serialize, DeserializedRequest};
 use super::writes::OfferedWrite;
 use super::ClusterTransport;
 use crate::cluster::ledger::{ClaimOutcome, RecordId};
@@ -125,7 +125,7 @@
     cluster: &Rc<ClusterTransport>,
     queued: &QueuedWrite,
 ) -> ForwardOutcome {
-    let Some((head, forward)) = deserialize(context, &queued.write.payload) else {
+    let Some(DeserializedRequest { head, forward, .. }) = deserialize(context, &queued.write.payload) else {
         return ForwardOutcome::Answered(StatusCode::BAD_REQUEST.as_u16());
     };
     let record = match (head.idempotency_key, &forward.body) {
@@ -141,13 +141,15 @@
     }
     // The write may have run. If a record lists its attempts, its class may still allow another attempt.
     let Some(record) = &record else { return ForwardOutcome::Unknown };
-    match resume(context, cluster, record, &head, &forward, ReleasedRecord::IsOwed).await {
+    let last_owner = LastOwner { released: ReleasedRecord::IsOwed, client_budget: None };
+    match resume(context, cluster, record, &head, &forward, last_owner).await {
         AbandonedOutcome::Finished | AbandonedOutcome::AlreadyCompleted => {
             ForwardOutcome::Answered(StatusCode::OK.as_u16())
         }
-        AbandonedOutcome::OwnedElsewhere | AbandonedOutcome::NotResumable | AbandonedOutcome::Released => {
-            ForwardOutcome::Unknown
-        }
+        AbandonedOutcome::OwnedElsewhere
+        | AbandonedOutcome::NotResumable
+        | AbandonedOutcome::Released
+        | AbandonedOutcome::ClientGone => ForwardOutcome::Unknown,
     }
 }
 
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -7,6 +7,7 @@
 mod client_disconnects;
 mod cluster;
 mod connection_close;
+mod cut_off_owner;
 mod descriptor_limit;
 mod endpoint_lists;
 mod floods;
--- a/tests/sockets/world/stub.rs
+++ b/tests/sockets/world/stub.rs
@@ -24,7 +24,7 @@
     pub fn status(&self) -> u16 {
         self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status")
     }
-    pub(super) fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
+    pub fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
         let mut message = Message::default();
         loop {
             let mut line = String::new();
