Keep the claims of a replaced process until its requests end

What callers saw: while a gateway's process was replaced, other gateways sent the old process's requests again, after their clients had their answers and had gone, and while the first attempt was out.

Cause: the old process left the cluster when a successor connected, and dropped its open claims, but went on with the requests. No lease was renewed, no completion told, and the successor knew nothing of them.

The backend's record has later attempts of the old process's requests alone.

Mend: claims stay with their requests. The old process goes on writing to the replicas from a socket of its own, and the successor, which has the address of the seat, passes the replies on over the hand-over connection. Leases of a rollout and of the queue end as before.

The test of a replaced process that is killed passed before and after. The fixture of a session passes over the new effect, which it has no use for.

--- a/lab/src/members/virtual_cluster.rs
+++ b/lab/src/members/virtual_cluster.rs
@@ -287,6 +287,7 @@
                 Effect::QuotaSharesChanged(shares) => self.processes[node].shares = shares,
                 // These nodes have no ledger, no storage, no write queue and no rollouts.
                 Effect::ClaimResolved { .. }
+                | Effect::PredecessorReply { .. }
                 | Effect::RoutingChanged(_)
                 | Effect::RolloutNotice(_)
                 | Effect::RolloutStarted { .. }
--- a/lab/tests/ledger_plans/simulation.rs
+++ b/lab/tests/ledger_plans/simulation.rs
@@ -209,6 +209,8 @@
                     self.on_claim_resolved(seat, claim, outcome)
                 }
                 LedgerEffect::RequestAbandoned(request) => self.on_request_abandoned(seat, request),
+                // The plans have no second process in a seat.
+                LedgerEffect::ReplyForOtherProcess { .. } => {}
             }
         }
         Some(result)
@@ -268,6 +270,8 @@
                     self.on_claim_resolved(seat, claim, outcome)
                 }
                 LedgerEffect::RequestAbandoned(request) => self.on_request_abandoned(seat, request),
+                // The plans have no second process in a seat.
+                LedgerEffect::ReplyForOtherProcess { .. } => {}
             }
         }
     }
--- a/src/cluster/event.rs
+++ b/src/cluster/event.rs
@@ -1,7 +1,7 @@
 //! Inputs and outputs of a cluster node: events, effects, notices for operators, and traffic counters.
 
 use crate::cluster::datagram::DatagramError;
-use crate::cluster::ledger::{AbandonedRequest, ClaimId, ClaimOutcome};
+use crate::cluster::ledger::{AbandonedRequest, ClaimId, ClaimOutcome, LedgerMessage};
 use crate::cluster::membership::members::MemberState;
 use crate::cluster::quota_lease::seat_lease::QuotaShares;
 use crate::cluster::rollout::{RolloutKey, RolloutNotice, RuleSet};
@@ -28,6 +28,13 @@
     LedgerTick,
     /// The gateway leaves the cluster on purpose.
     Leave,
+    /// The successor of this process has received a reply to one of its claims.
+    LedgerReply {
+        /// Seat of the replica that replied.
+        seat: u16,
+        /// The reply.
+        message: LedgerMessage,
+    },
     /// The configured addresses of the other gateways changed.
     PeerAddressesChanged {
         /// Addresses of all other gateways, by name.
@@ -75,6 +82,14 @@
         /// Outcome of the claim.
         outcome: ClaimOutcome,
     },
+    /// Pass a reply of a replica on to the predecessor of this process, if there is one: no claim of this process waits
+    /// for it.
+    PredecessorReply {
+        /// Seat of the replica that replied.
+        seat: u16,
+        /// The reply.
+        message: LedgerMessage,
+    },
     /// Finish an abandoned request: its owner is gone and its client did not retry.
     RequestAbandoned(AbandonedRequest),
     /// Perform an action of the write queue.
--- a/src/cluster/ledger/node.rs
+++ b/src/cluster/ledger/node.rs
@@ -38,6 +38,14 @@
         /// Outcome of the claim or write.
         outcome: ClaimOutcome,
     },
+    /// A reply to a claim of another process in this seat has arrived: of a predecessor that still serves, or of one that
+    /// has exited.
+    ReplyForOtherProcess {
+        /// Seat of the replica that replied.
+        from: u16,
+        /// The reply.
+        message: LedgerMessage,
+    },
     /// This gateway may finish a request whose owner failed and whose client did not retry.
     RequestAbandoned(AbandonedRequest),
 }
@@ -73,6 +81,18 @@
     pub abandoned: u64,
 }
 
+/// Which process in this seat has the claims and the replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SeatState {
+    /// This process alone.
+    Own,
+    /// A successor has the seat, with a replica that has no vote yet. The replica of this process serves its own claims
+    /// until they end.
+    ReplicaKept,
+    /// A successor has the seat and the replica with all it has stored. This process has claims only.
+    ReplicaMoved,
+}
+
 struct OpenClaim {
     client: LedgerClient,
     /// Time at which the claim was released.
@@ -87,6 +107,8 @@
     seat_list: u64,
     process: u64,
     replica: Replica,
+    /// Whether a successor of this process has taken over the seat.
+    seat: SeatState,
     claims: BTreeMap<ClaimId, OpenClaim>,
     last_claim: ClaimId,
     next_expiry: Micros,
@@ -113,6 +135,7 @@
             seat_list,
             process,
             replica: Replica::new(settings, now),
+            seat: SeatState::Own,
             claims: BTreeMap::new(),
             last_claim: 0,
             next_expiry: now,
@@ -121,6 +144,17 @@
         }
     }
 
+    /// Called when a successor of this process has taken over the seat: from now on this process drives its claims only.
+    /// `replica_moved` tells whether the successor restores this replica from storage.
+    pub fn hand_over_seat(&mut self, replica_moved: bool) {
+        self.seat = if replica_moved { SeatState::ReplicaMoved } else { SeatState::ReplicaKept };
+    }
+
+    /// Drops a claim without a word to its replicas, for whom its lease ends.
+    pub fn drop_claim(&mut self, claim: ClaimId) {
+        self.claims.remove(&claim);
+    }
+
     /// Returns the replica of this gateway.
     pub fn replica(&self) -> &Replica {
         &self.replica
@@ -302,7 +336,7 @@
             Some(ballot) if ballot.process == self.process => {
                 self.on_reply(now, from, ballot.claim, message, out);
             }
-            Some(_) => {}
+            Some(_) => out.push(LedgerEffect::ReplyForOtherProcess { from, message }),
         }
     }
 
@@ -351,7 +385,7 @@
     /// Handles messages to the local replica at once and emits the others to be sent.
     fn deliver(&mut self, now: Micros, messages: Vec<AddressedMessage>, out: &mut Vec<LedgerEffect>) {
         for addressed in messages {
-            match addressed.to == self.own_seat {
+            match addressed.to == self.own_seat && self.seat != SeatState::ReplicaMoved {
                 true => self.on_message(now, addressed.to, addressed.message, out),
                 false => out.push(LedgerEffect::Send(addressed)),
             }
@@ -375,7 +409,7 @@
             self.resolve(claim, outcome, out);
         }
         self.deliver(now, messages, out);
-        if now >= self.next_abandoned_check {
+        if self.seat == SeatState::Own && now >= self.next_abandoned_check {
             self.next_abandoned_check = now + ABANDONED_INTERVAL;
             self.report_abandoned(now, out);
         }
--- a/src/cluster/ledger_node.rs
+++ b/src/cluster/ledger_node.rs
@@ -58,6 +58,12 @@
         self.ledger.as_ref()
     }
 
+    /// Returns the seats of the other gateways that are present and have the ledger capability.
+    pub fn present_replicas(&self) -> Vec<u16> {
+        let (seats, swim, assumed) = (&self.settings.seats, &self.swim, &self.assumed_present);
+        (0..seats.len() as u16).filter(|seat| is_present_replica(seats, swim, assumed, *seat)).collect()
+    }
+
     /// Opens a claim of a record for a request with this digest. Returns `None` if there is no ledger or it has
     /// too many open claims.
     pub fn open_claim(
@@ -67,8 +73,8 @@
         request_digest: u64,
         out: &mut Vec<Effect>,
     ) -> Option<ClaimId> {
-        let (seats, swim) = (&self.settings.seats, &self.swim);
-        let reachable = |seat| is_present_replica(seats, swim, seat);
+        let (seats, swim, assumed) = (&self.settings.seats, &self.swim, &self.assumed_present);
+        let reachable = |seat| is_present_replica(seats, swim, assumed, seat);
         let mut effects = Vec::new();
         let claim = self.ledger.as_mut()?.open(now, id, request_digest, reachable, &mut effects);
         self.gate_ledger_effects(effects, out);
@@ -83,8 +89,8 @@
         group: &[u16],
         out: &mut Vec<Effect>,
     ) -> Option<ClaimId> {
-        let (seats, swim) = (&self.settings.seats, &self.swim);
-        let reachable = |seat| is_present_replica(seats, swim, seat);
+        let (seats, swim, assumed) = (&self.settings.seats, &self.swim, &self.assumed_present);
+        let reachable = |seat| is_present_replica(seats, swim, assumed, seat);
         let mut effects = Vec::new();
         let claim = self.ledger.as_mut()?.open_in_group(now, id, group, reachable, &mut effects);
         self.gate_ledger_effects(effects, out);
@@ -158,6 +164,14 @@
         }
     }
 
+    /// Handles a reply to a claim of this process that its successor has received.
+    pub(super) fn on_ledger_reply(&mut self, seat: u16, message: LedgerMessage, out: &mut Vec<Effect>) {
+        let now = self.now;
+        if message.reply_ballot().is_some() {
+            self.with_ledger(out, |ledger, effects| ledger.on_message(now, seat, message, effects));
+        }
+    }
+
     pub(super) fn tick_ledger(&mut self, out: &mut Vec<Effect>) {
         let now = self.now;
         self.with_ledger(out, |ledger, effects| ledger.tick(now, effects));
@@ -207,6 +221,9 @@
                 }
             }
             LedgerEffect::RequestAbandoned(request) => out.push(Effect::RequestAbandoned(request)),
+            LedgerEffect::ReplyForOtherProcess { from, message } => {
+                out.push(Effect::PredecessorReply { seat: from, message });
+            }
             LedgerEffect::Send(AddressedMessage { to, message }) => {
                 self.send_to_seat(to, &Payload::Ledger { seat_list, seat, message }, out);
             }
@@ -258,7 +275,8 @@
         let Some(name) = self.settings.seats.get(usize::from(seat)) else { return };
         let known = self.swim.records().get(name.as_str()).map(|record| record.identity.clone());
         let to = known.unwrap_or_else(|| Identity::unknown(name));
-        let address: Option<SocketAddr> = self.addresses(&to).next();
+        let successor = self.successor_address.filter(|_| *name == self.settings.name);
+        let address: Option<SocketAddr> = successor.or_else(|| self.addresses(&to).next());
         let bytes = datagram::encode(self.cluster_tag, payload, &[]);
         self.traffic.unaddressed += u64::from(address.is_none());
         if let (Some(address), Some(bytes)) = (address, bytes) {
@@ -279,10 +297,11 @@
     }
 }
 
-/// Returns whether the gateway in this seat is present and has the ledger capability.
-fn is_present_replica(seats: &[String], swim: &Swim, seat: u16) -> bool {
+/// Returns whether the gateway in this seat is present and has the ledger capability. Of one that was never heard of,
+/// `assumed_present` tells.
+fn is_present_replica(seats: &[String], swim: &Swim, assumed_present: &[u16], seat: u16) -> bool {
     let record = seats.get(usize::from(seat)).and_then(|name| swim.records().get(name.as_str()));
-    record.is_some_and(|record| {
+    record.map_or(assumed_present.contains(&seat), |record| {
         record.state.is_present() && record.identity.metadata.capabilities & CAPABILITY_LEDGER != 0
     })
 }
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -17,6 +17,7 @@
 use crate::cluster::write_queue::{QueueReplica, WriteQueue};
 use crate::decision::{Micros, SettingsError};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// State machine of one gateway in the cluster.
@@ -34,6 +35,11 @@
     pub(super) address_book: AddressBook,
     pub(super) ring_prober: RingProber,
     pub(super) duplicate_names: DuplicateNameDetector,
+    /// Address of the successor of this process, which has taken over its seat. This process then drives its open claims
+    /// at the ledger, and takes no other part in the cluster.
+    pub(super) successor_address: Option<SocketAddr>,
+    /// Seats that count as present replicas as long as this process has not heard of them.
+    pub(super) assumed_present: Vec<u16>,
     /// Incarnation of the newer process under this name, to which this process has yielded its seat.
     pub(super) yielded_to: Option<u64>,
     /// Whether this gateway leaves, or has left, on purpose.
@@ -131,6 +137,8 @@
             join_schedule,
             ring_prober: RingProber::default(),
             duplicate_names: DuplicateNameDetector::default(),
+            successor_address: None,
+            assumed_present: Vec::new(),
             yielded_to: None,
             is_leaving: false,
             leave_repeats: 0,
@@ -150,14 +158,15 @@
         let mut messages = Vec::new();
         match event {
             Event::Datagram { from, bytes } => self.receive(from, bytes, &mut messages, out),
-            Event::Tick if self.yielded_to.is_none() => self.tick_membership(&mut messages, out),
+            Event::LedgerReply { seat, message } => self.on_ledger_reply(seat, message, out),
+            Event::Tick if self.is_member() => self.tick_membership(&mut messages, out),
             Event::Tick => {}
             Event::LedgerTick => {
                 self.tick_ledger(out);
                 self.tick_rollout(out);
                 self.tick_write_queue(out);
             }
-            Event::Leave if self.yielded_to.is_none() && !self.is_leaving => self.leave(&mut messages),
+            Event::Leave if self.is_member() && !self.is_leaving => self.leave(&mut messages),
             Event::Leave => {}
             Event::PeerAddressesChanged { addresses } => {
                 self.address_book.configure(addresses);
@@ -170,6 +179,31 @@
         self.send_messages(messages, out);
     }
 
+    /// Called when a successor of this process has taken over its seat at this address. Claims that are open go on here, as
+    /// their requests do; the successor passes on the replies.
+    pub fn hand_over_seat(&mut self, successor_address: SocketAddr) {
+        self.successor_address = Some(successor_address);
+        let leading = self.rollout.take().and_then(|controller| controller.claim());
+        let forwarding = self.write_queue.take().and_then(|queue| queue.claim());
+        let replica_moved = self.persistence.take().is_some();
+        if let Some(ledger) = self.ledger.as_mut() {
+            ledger.hand_over_seat(replica_moved);
+            // These leases belong to the seat, not to a request: they end, and the successor may acquire them.
+            leading.into_iter().chain(forwarding).for_each(|claim| ledger.drop_claim(claim));
+        }
+    }
+
+    /// Sets the seats that the predecessor of this process knew as present replicas. They count as such until this process has
+    /// heard of them itself.
+    pub fn assume_present(&mut self, seats: Vec<u16>) {
+        self.assumed_present = seats;
+    }
+
+    /// Whether this process takes part in the membership of the cluster.
+    fn is_member(&self) -> bool {
+        self.yielded_to.is_none() && self.successor_address.is_none()
+    }
+
     /// Current identity of this process.
     pub fn own_identity(&self) -> &Identity {
         self.swim.own_identity()
--- a/src/proxy/cluster_transport/mod.rs
+++ b/src/proxy/cluster_transport/mod.rs
@@ -15,6 +15,7 @@
 mod notices;
 pub(crate) mod outcome_recorder;
 mod participation;
+mod predecessor;
 pub(crate) mod queued_write;
 pub mod rollouts;
 pub(crate) mod serialized_request;
@@ -31,6 +32,7 @@
 use crate::decision::QuotaLease;
 use crate::proxy::control_plane::config::ClusterConfig;
 use crate::proxy::lifecycle::drain::Lifecycle;
+use crate::proxy::lifecycle::handover::HandoverMessage;
 use crate::proxy::runtime::clock::Clock;
 use claim_progress::ClaimProgress;
 use disk::Disk;
@@ -48,7 +50,7 @@
 use tracing::info;
 
 /// Pause between attempts to open the socket.
-const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A change in the cluster that affects how this gateway handles requests.
 pub enum ClusterUpdate {
@@ -94,6 +96,12 @@
     /// Callers that wait for writes to be accepted or rejected.
     write_decisions: RefCell<HashMap<Dot, Vec<oneshot::Sender<Acceptance>>>>,
     senders: RequestSenders,
+    /// Sends messages to the predecessor of this process, while there is one whose claims are open.
+    predecessor: RefCell<Option<mpsc::Sender<HandoverMessage>>>,
+    /// Seats that the predecessor knew as present replicas. The node of the next participation takes them.
+    assumed_present: RefCell<Vec<u16>>,
+    /// Whether this process participates in the cluster.
+    participates: watch::Sender<bool>,
     /// Number of abandoned requests that this gateway finished.
     abandoned_finished: Cell<u64>,
     /// Number of abandoned requests that this gateway could not finish.
@@ -125,6 +133,9 @@
             rollout_start: RefCell::new(None),
             write_decisions: RefCell::default(),
             senders,
+            predecessor: RefCell::new(None),
+            assumed_present: RefCell::default(),
+            participates: watch::Sender::new(false),
             abandoned_finished: Cell::new(0),
             abandoned_not_finished: Cell::new(0),
         })
@@ -154,7 +165,7 @@
     ) {
         let mut lifecycle = self.lifecycle.subscribe();
         loop {
-            if lifecycle.wait_for(|s| s.serving && !s.replaced).await.is_err() {
+            if lifecycle.wait_for(|s| s.may_join_cluster && !s.replaced).await.is_err() {
                 return;
             }
             let socket = Rc::new(match opened.take() {
@@ -163,13 +174,25 @@
             });
             *self.socket.borrow_mut() = Some(socket.clone());
             self.participate(&socket, &mut addresses).await;
-            *self.node.borrow_mut() = None;
+            // The successor opens these.
             *self.socket.borrow_mut() = None;
             *self.disk.borrow_mut() = None;
+            drop(socket);
+            self.serve_open_claims().await;
+            self.participates.send_replace(false);
+            *self.node.borrow_mut() = None;
+            *self.socket.borrow_mut() = None;
             self.end_claims();
         }
     }
 
+    /// Returns once this process participates in the cluster.
+    pub async fn wait_until_participating(&self) {
+        let mut participates = self.participates.subscribe();
+        // Can't fail: this transport keeps the sender alive.
+        let _ = participates.wait_for(|participates| *participates).await;
+    }
+
     /// Reports all open claims as lost, as this process does not participate any more.
     fn end_claims(&self) {
         let claims = std::mem::take(&mut *self.claims.borrow_mut());
@@ -220,6 +243,7 @@
                 Effect::RolloutNotice(notice) => notices::log_rollout(&notice),
                 Effect::RolloutStarted { key } => self.resolve_rollout_start(key),
                 Effect::ClaimResolved { claim, outcome } => self.resolve_claim(claim, outcome),
+                Effect::PredecessorReply { seat, message } => self.pass_to_predecessor(seat, &message),
             }
         }
     }
--- a/src/proxy/cluster_transport/participation.rs
+++ b/src/proxy/cluster_transport/participation.rs
@@ -97,13 +97,15 @@
             storage_machine: self.config.storage_dir.as_ref().map(|_| disk::machine_id()),
             ..self.config.settings.clone()
         };
-        let node = ClusterNode::new(settings, self.clock.now(), unix, fastrand::u64(..))?;
+        let mut node = ClusterNode::new(settings, self.clock.now(), unix, fastrand::u64(..))?;
+        node.assume_present(std::mem::take(&mut *self.assumed_present.borrow_mut()));
         info!(name = %node.own_identity().name, incarnation = node.own_identity().incarnation, "joining the cluster");
         if let Some(in_force) = node.routing_in_force().filter(|f| !f.baseline.0.is_empty()) {
             (self.notify_runtime)(ClusterUpdate::Routing(Box::new(in_force)));
         }
         *self.node.borrow_mut() = Some(node);
         self.participation.set(self.participation.get() + 1);
+        self.participates.send_replace(true);
         Ok(())
     }
 
@@ -130,7 +132,7 @@
             self.receive();
             self.tick_if_due();
             let state = transport.lifecycle.state();
-            if state.replaced {
+            if state.seat_handed_over {
                 return;
             }
             if state.shutdown >= ShutdownPhase::Stopping && !self.leaving {
--- a/src/proxy/lifecycle/drain.rs
+++ b/src/proxy/lifecycle/drain.rs
@@ -27,13 +27,17 @@
 pub struct LifecycleState {
     /// Whether the endpoint list is known.
     pub endpoints_known: bool,
-    /// Whether the process may serve: its predecessor, if there was one, has handed over.
+    /// Whether the process may take part in the cluster: its predecessor, if there was one, has handed over.
+    pub may_join_cluster: bool,
+    /// Whether the process may serve.
     pub serving: bool,
     /// Whether an operator drains the gateway: requests are still served, and connections are closed after the
     /// response. Not set by SIGTERM, which advances `shutdown`.
     pub operator_drain: bool,
     /// Whether another process accepts the new connections.
     pub replaced: bool,
+    /// Whether that process has what it needs to take part in the cluster in place of this one.
+    pub seat_handed_over: bool,
     /// Phase of the shutdown.
     pub shutdown: ShutdownPhase,
 }
@@ -93,9 +97,16 @@
     pub fn mark_endpoints_known(&self) -> bool {
         self.update(|state| state.endpoints_known = true)
     }
+    /// Allows the process to take part in the cluster.
+    pub fn start_joining(&self) {
+        self.update(|state| state.may_join_cluster = true);
+    }
     /// Allows the process to serve.
     pub fn start_serving(&self) {
-        self.update(|state| state.serving = true);
+        self.update(|state| {
+            state.may_join_cluster = true;
+            state.serving = true;
+        });
     }
     /// Starts or ends a drain by an operator.
     pub fn set_operator_drain(&self, operator_drain: bool) {
@@ -103,7 +114,14 @@
     }
     /// Sets whether another process has taken over and accepts the new connections.
     pub fn set_replaced(&self, replaced: bool) {
-        self.update(|state| state.replaced = replaced);
+        self.update(|state| {
+            state.replaced = replaced;
+            state.seat_handed_over &= replaced;
+        });
+    }
+    /// Records that the process that replaces this one may take part in the cluster in its place.
+    pub fn hand_over_seat(&self) {
+        self.update(|state| state.seat_handed_over = state.replaced);
     }
     /// Advances the shutdown to a phase; an earlier phase is ignored.
     pub fn advance_shutdown(&self, phase: ShutdownPhase) {
--- a/src/proxy/lifecycle/handover.rs
+++ b/src/proxy/lifecycle/handover.rs
@@ -11,6 +11,7 @@
 
 pub use message::{HandoverMessage, HandoverSnapshot};
 
+use crate::proxy::cluster_transport::ClusterTransport;
 use crate::proxy::downstream::accept::AcceptBackoff;
 use crate::proxy::lifecycle::drain::Lifecycle;
 use crate::proxy::lifecycle::permits::Permits;
@@ -42,6 +43,8 @@
     client_permits: Rc<Permits>,
     /// Publishes the number of client connections of the other process, whose permits this process must not use.
     other_process_connections: watch::Sender<usize>,
+    /// The cluster, if this gateway has a ledger.
+    ledger: Option<Rc<ClusterTransport>>,
 }
 
 impl Handover {
@@ -54,10 +57,11 @@
         lifecycle: Rc<Lifecycle>,
         client_permits: Rc<Permits>,
         other_process_connections: watch::Sender<usize>,
+        ledger: Option<Rc<ClusterTransport>>,
     ) -> Handover {
         // Must not change: older builds use this name to find the other process.
         let socket_path = folder.join(format!("starlinghill-{address}.sock"));
-        Handover { socket_path, runtime, lifecycle, client_permits, other_process_connections }
+        Handover { socket_path, runtime, lifecycle, client_permits, other_process_connections, ledger }
     }
 
     /// Takes over from the serving process, if there is one. Returns once this process may serve.
@@ -76,10 +80,15 @@
             }
         };
         let (messages, outgoing) = mpsc::channel(MAX_QUEUED_MESSAGES);
+        let ledger_handover = snapshot.ledger.clone();
+        let to_predecessor = messages.clone();
         let taken = self.command(|reply| AdminCommand::TakeOver { snapshot, messages, reply }).await;
         if taken.is_none() {
             return;
         }
+        if let (Some(ledger), Some(handover)) = (&self.ledger, ledger_handover) {
+            ledger.take_over(to_predecessor, handover);
+        }
         // Until the predecessor reports how many it holds, it may hold all.
         self.other_process_connections.send_replace(usize::MAX);
         info!("taking over from the predecessor process");
@@ -94,6 +103,9 @@
     ) {
         self.relay(connection, outgoing).await;
         info!("the predecessor process has exited");
+        if let Some(ledger) = &self.ledger {
+            ledger.predecessor_exited();
+        }
         self.other_process_connections.send_replace(0);
         self.command(AdminCommand::PeerProcessExited).await;
     }
@@ -167,11 +179,15 @@
         self.lifecycle.set_replaced(true);
         let snapshot = self.command(|reply| AdminCommand::HandOver { messages, reply }).await;
         let sent = match snapshot {
-            Some(snapshot) => connection.send(&HandoverMessage::Snapshot(snapshot)).await,
+            Some(mut snapshot) => {
+                snapshot.ledger = self.ledger.as_ref().map(|ledger| ledger.to_hand_over());
+                connection.send(&HandoverMessage::Snapshot(snapshot)).await
+            }
             None => Err(HandoverError::Closed),
         };
         if sent.is_ok() {
             info!("handing over to the successor process");
+            self.lifecycle.hand_over_seat();
             self.relay(connection, outgoing).await;
             warn!("the successor process has exited; this process accepts connections again");
         }
@@ -193,6 +209,11 @@
                         Ok(HandoverMessage::SetMaintenance { endpoint, in_maintenance }) => {
                             self.set_maintenance(endpoint, in_maintenance).await;
                         }
+                        Ok(HandoverMessage::LedgerReply(reply)) => {
+                            if let Some(ledger) = &self.ledger {
+                                ledger.on_ledger_reply(&reply);
+                            }
+                        }
                         Ok(HandoverMessage::Hello | HandoverMessage::Snapshot(_)) => return,
                         Err(error) => return error.log(),
                     }
--- a/src/proxy/lifecycle/handover/message.rs
+++ b/src/proxy/lifecycle/handover/message.rs
@@ -14,6 +14,27 @@
     /// State of the predecessor's decision module.
     #[serde(rename = "estate")]
     pub decision_state: HandoverState,
+    /// What the successor needs for the ledger, if the predecessor has one. Older builds send nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ledger: Option<LedgerHandover>,
+}
+
+/// What the successor needs for the ledger. A predecessor that sends this awaits [`HandoverMessage::LedgerReply`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerHandover {
+    /// Seats of the gateways that take part in the ledger at present, of which the successor has not heard itself.
+    #[serde(rename = "present")]
+    pub present_seats: Vec<u16>,
+}
+
+/// Reply of a ledger replica to a claim of the predecessor.
+#[derive(Serialize, Deserialize)]
+pub struct LedgerReply {
+    /// Seat of the replica.
+    pub seat: u16,
+    /// The encoded message.
+    #[serde(rename = "bytes")]
+    pub message: Vec<u8>,
 }
 
 /// Message between the two processes.
@@ -37,4 +58,7 @@
         #[serde(rename = "out")]
         in_maintenance: bool,
     },
+    /// Reply of a ledger replica to a claim of the predecessor, passed on by the successor, which has the cluster's socket.
+    /// Sent only to a predecessor that awaits it.
+    LedgerReply(LedgerReply),
 }
--- a/src/proxy/lifecycle/handover/tests.rs
+++ b/src/proxy/lifecycle/handover/tests.rs
@@ -3,6 +3,7 @@
 //!
 //! The fixtures are in `tests/fixtures/control`. The other process may be an older build, so they must never change.
 
+use super::message::LedgerHandover;
 use super::{HandoverConnection, HandoverMessage, HandoverSnapshot};
 use crate::decision::ClassId;
 use crate::decision::Gateway;
@@ -60,6 +61,19 @@
     }
 }
 
+#[test]
+fn ledger_reply_and_its_announcement_keep_their_form() {
+    let reply = r#"{"LedgerReply":{"seat":1,"bytes":[0,200]}}"#;
+    let message: HandoverMessage = serde_json::from_str(reply).expect("known message");
+    assert_eq!(serde_json::to_string(&message).expect("serialized message"), reply);
+    let mut snapshot = parse_snapshot(PREDECESSOR.lines().next().expect("first line"));
+    assert_eq!(snapshot.ledger, None, "an older build awaits none");
+    snapshot.ledger = Some(LedgerHandover { present_seats: vec![1, 2] });
+    let line = serde_json::to_string(&HandoverMessage::Snapshot(snapshot)).expect("serialized message");
+    assert!(line.contains(r#""ledger":{"present":[1,2]}"#), "{line}");
+    assert_eq!(parse_snapshot(&line).ledger.expect("a ledger").present_seats, [1, 2]);
+}
+
 #[tokio::test]
 async fn unknown_message_is_an_error() {
     for line in [&b"{\"Later\":1}\n"[..], b"hello\n", b"{\"Held\":-1}\n", b"\xff\n"] {
--- a/src/proxy/runtime/admin_commands.rs
+++ b/src/proxy/runtime/admin_commands.rs
@@ -68,7 +68,8 @@
         self.run_tick();
         let endpoints = self.discovered_endpoints.values().cloned().collect();
         let endpoints = EndpointList { revision: self.list_revision, complete: true, endpoints };
-        HandoverSnapshot { endpoints, decision_state: self.gateway.hand_over() }
+        let decision_state = self.gateway.hand_over();
+        HandoverSnapshot { endpoints, decision_state, ledger: None }
     }
 
     /// Takes over the state of the predecessor, and reserves connections and memory for it.
--- a/src/proxy/startup.rs
+++ b/src/proxy/startup.rs
@@ -4,6 +4,7 @@
 use super::admin::known_names::KnownNames;
 use super::admin::metrics::Metrics;
 use super::cluster_transport::outcome_recorder::OutcomeRecorder;
+use super::cluster_transport::queued_write::QueuedWrite;
 use super::cluster_transport::write_queue_sender::{check_uplink, forward_writes};
 use super::cluster_transport::{
     abandoned_requests::finish_abandoned_requests, ClusterTransport, ClusterUpdate, RequestSenders,
@@ -24,6 +25,7 @@
 use super::runtime::clock::Clock;
 use super::runtime::messages::{send_event, AdminSender, RuntimeEvent, RuntimeSender};
 use super::runtime::{Runtime, SharedParts};
+use crate::cluster::ledger::AbandonedRequest;
 use crate::decision::{ClassId, Micros, PlanId};
 use crate::site_settings::Site;
 use std::io;
@@ -31,10 +33,12 @@
 use std::os::fd::RawFd;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 use tracing::info;
 
 /// Limit on the queued writes of a branch that wait to be forwarded.
@@ -42,6 +46,9 @@
 /// Limit on the abandoned requests of failed gateways that wait to be finished.
 const MAX_ABANDONED_REQUESTS: usize = 100;
 
+/// Longest wait for the cluster's socket, which a predecessor closes once it has handed over.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Error that keeps a gateway from starting or from running on.
 #[derive(Debug, Error)]
 pub enum RunError {
@@ -102,21 +109,18 @@
     let permits = Rc::new(Permits::new(parts.memory.sockets().served_clients()));
     spawn_local(return_freed_memory(parts.memory.clone(), permits.clone()));
     let (other_process_sender, other_process_connections) = watch::channel(0);
-    let handover = plan.handover(address, commands, &parts, permits.clone(), other_process_sender);
+    let cluster_to_join = transport.clone();
     let ledger = transport.filter(|transport| transport.has_ledger());
+    let other_process = OtherProcess { connections: other_process_sender, ledger: ledger.clone() };
+    let handover = plan.handover(address, commands, &parts, permits.clone(), other_process);
     let context = Rc::new(plan.proxy_context(&parts, sender, permits, ledger.clone()));
     if let Some(ledger) = ledger {
-        if plan.queues_writes() {
-            spawn_local(forward_writes(context.clone(), ledger.clone(), writes_to_forward));
-            spawn_local(check_uplink(parts.outcomes.clone()));
-        }
-        if plan.finishes_requests() {
-            spawn_local(finish_abandoned_requests(context.clone(), ledger, requests_to_finish));
-        }
+        plan.serve_cluster_requests(&context, &ledger, &parts, writes_to_forward, requests_to_finish);
     }
     let serving = async {
         if let Some(handover) = handover {
             take_over_when_ready(handover, &parts.lifecycle).await;
+            join_cluster(cluster_to_join, &parts.lifecycle).await;
         }
         parts.lifecycle.start_serving();
         server::serve(listener, context, other_process_connections).await;
@@ -139,6 +143,14 @@
     }
 }
 
+/// What depends on messages of the other process of this gateway during a hand-over.
+struct OtherProcess {
+    /// Publishes the number of its client connections.
+    connections: watch::Sender<usize>,
+    /// The cluster, if this gateway has a ledger.
+    ledger: Option<Rc<ClusterTransport>>,
+}
+
 /// Values of the configuration that the start needs after the runtime has consumed it.
 struct StartPlan {
     name: String,
@@ -196,6 +208,24 @@
         }
     }
 
+    /// Starts the tasks for the requests that the cluster assigns to this gateway.
+    fn serve_cluster_requests(
+        &self,
+        context: &Rc<ProxyContext>,
+        ledger: &Rc<ClusterTransport>,
+        parts: &SharedParts,
+        writes_to_forward: mpsc::Receiver<QueuedWrite>,
+        requests_to_finish: mpsc::Receiver<AbandonedRequest>,
+    ) {
+        if self.queues_writes() {
+            spawn_local(forward_writes(context.clone(), ledger.clone(), writes_to_forward));
+            spawn_local(check_uplink(parts.outcomes.clone()));
+        }
+        if self.finishes_requests() {
+            spawn_local(finish_abandoned_requests(context.clone(), ledger.clone(), requests_to_finish));
+        }
+    }
+
     /// Creates the context that all client connections share.
     fn proxy_context(
         &self,
@@ -307,7 +337,7 @@
         commands: AdminSender,
         parts: &SharedParts,
         client_permits: Rc<Permits>,
-        other_process_connections: watch::Sender<usize>,
+        other_process: OtherProcess,
     ) -> Option<Rc<Handover>> {
         let folder = self.handover_folder.as_ref().filter(|_| self.accept_descriptor.is_some())?;
         let lifecycle = parts.lifecycle.clone();
@@ -317,7 +347,8 @@
             commands,
             lifecycle,
             client_permits,
-            other_process_connections,
+            other_process.connections,
+            other_process.ledger,
         )))
     }
 }
@@ -357,3 +388,12 @@
     }
     spawn_local(handover.serve_successors());
 }
+
+/// Joins the cluster before the first request, so that requests of which a predecessor has a record meet it.
+async fn join_cluster(cluster: Option<Rc<ClusterTransport>>, lifecycle: &Lifecycle) {
+    lifecycle.start_joining();
+    if let Some(cluster) = cluster {
+        // Serving without a record is better than not serving.
+        let _ = timeout(JOIN_TIMEOUT, cluster.wait_until_participating()).await;
+    }
+}
--- a/tests/sockets/cluster.rs
+++ b/tests/sockets/cluster.rs
@@ -8,10 +8,7 @@
 
 /// Writes a cluster file for each name; returns the gossip addresses and files. The ports were free a moment ago.
 fn cluster_files(names: &[&str]) -> Vec<(SocketAddr, PathBuf)> {
-    let reserved: Vec<UdpSocket> =
-        names.iter().map(|_| UdpSocket::bind("127.0.0.1:0").expect("a port")).collect();
-    let addresses: Vec<SocketAddr> =
-        reserved.iter().map(|socket| socket.local_addr().expect("the socket is bound")).collect();
+    let addresses: Vec<SocketAddr> = names.iter().map(|_| free_udp_address()).collect();
     let peers: Vec<String> =
         names.iter().zip(&addresses).map(|(name, address)| format!("{name} = \"{address}\"\n")).collect();
     let write_file = |(name, address): (&&str, &SocketAddr)| {
--- /dev/null
+++ b/tests/sockets/ledger_owner.rs
@@ -0,0 +1,249 @@
+//! A gateway owns requests in progress whose records other gateways hold, and is cut off from them, replaced or killed.
+
+use crate::replacement::{wait_until_serving, Platform};
+use crate::takeover::start_ledger_gateway;
+use crate::world::*;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const GATEWAYS: usize = 3;
+/// Enough that each request has one of its own.
+const BACKENDS: usize = 16;
+const LEASE_MS: u64 = 400;
+/// Time for which records live: long enough for a request with its whole budget.
+const LIFETIME_MS: u64 = 6000;
+const BUDGET: Duration = Duration::from_millis(3000);
+const LONGEST_DATAGRAM: usize = 2048;
+
+/// Passes datagrams on, except while `severed` is set. Returns the address to send them to.
+fn start_link(to: SocketAddr, severed: Arc<AtomicBool>) -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let address = socket.local_addr().expect("the socket is bound");
+    thread::spawn(move || {
+        let mut datagram = [0; LONGEST_DATAGRAM];
+        while let Ok(length) = socket.recv(&mut datagram) {
+            if !severed.load(Ordering::SeqCst) {
+                // A datagram may be lost.
+                let _ = socket.send_to(&datagram[..length], to);
+            }
+        }
+    });
+    address
+}
+
+/// Writes the cluster files of three gateways; the links of the first one are severed while the flag is set.
+fn linked_cluster_files(severed: &Arc<AtomicBool>) -> Vec<PathBuf> {
+    let addresses: Vec<SocketAddr> = (0..GATEWAYS).map(|_| free_udp_address()).collect();
+    let never = Arc::new(AtomicBool::new(false));
+    let write_file = |number: usize| {
+        let others = (0..GATEWAYS).filter(|other| *other != number);
+        let link = |other: usize| {
+            let severed = if number == 0 || other == 0 { severed } else { &never };
+            format!("g{other} = \"{}\"\n", start_link(addresses[other], severed.clone()))
+        };
+        let peers: String = others.map(link).collect();
+        let text = format!(
+            "fleet = \"test\"\nname = \"g{number}\"\nlisten = \"{}\"\nperiod_ms = 200\nseats = [\"g0\", \"g1\", \"g2\"]\n\
+            [peers]\n{peers}[ledger]\nholders = 3\nlease_ms = {LEASE_MS}\nlife_ms = {LIFETIME_MS}\nwait_ms = 100\n\
+            finish = [\"buy\"]\n",
+            addresses[number]
+        );
+        let path = std::env::temp_dir().join(format!(
+            "cut-{}-{}.toml",
+            std::process::id(),
+            addresses[number].port()
+        ));
+        std::fs::write(&path, text).expect("the file is written");
+        path
+    };
+    (0..GATEWAYS).map(write_file).collect()
+}
+
+/// A cluster whose first gateway has sent some requests to the backend.
+struct OwnedRequests {
+    severed: Arc<AtomicBool>,
+    backends: RecordingBackends,
+    owner: OwnerCommand,
+    gateways: Vec<Gateway>,
+    clients: Vec<WaitingClient>,
+    sent_at: Instant,
+    _services: (Discovery, Stub),
+}
+
+/// How the processes of the first gateway are started.
+struct OwnerCommand {
+    platform: Platform,
+    config: String,
+    file: PathBuf,
+}
+
+impl OwnerCommand {
+    fn start(&self) -> Gateway {
+        let config = self.config.replace("\"balancers\":2", "\"balancers\":3");
+        let mut command = self.platform.command(&config);
+        command.env("NODE_FLEET", &self.file);
+        Gateway::spawn(command)
+    }
+}
+
+/// A client that has sent a request and has no answer yet.
+struct WaitingClient {
+    key: String,
+    /// The request.
+    text: String,
+    client: Client,
+}
+
+impl OwnedRequests {
+    /// Starts the cluster, and a request for each of these times that the backend works, in milliseconds.
+    fn start(works_ms: &[u64]) -> OwnedRequests {
+        let severed = Arc::new(AtomicBool::new(false));
+        let backends = RecordingBackends::default();
+        let discovery = Discovery::start(&backends.start(BACKENDS));
+        let counter = counter_stub();
+        let mut files = linked_cluster_files(&severed).into_iter();
+        let file = files.next().expect("a file of each gateway");
+        let config = config(discovery.stub.address, counter.address);
+        let owner = OwnerCommand { platform: Platform::new(), config, file };
+        let start = |(number, file)| start_ledger_gateway(number + 1, &discovery, &counter, &file);
+        let mut gateways = vec![owner.start()];
+        gateways.extend(files.enumerate().map(start));
+        for gateway in &gateways {
+            wait_until_serving(gateway);
+            gateway.wait_for_metric("fleet.present", GATEWAYS as u64);
+        }
+        gateways.iter().for_each(wait_for_vote);
+        let sent_at = Instant::now();
+        let send = |(number, work_ms): (usize, &u64)| {
+            let key = format!("k-{number}");
+            let text = with_new_customer(&request("buy", BUDGET.as_millis() as u32))
+                .replace("k-17", &key)
+                .replace("&x=1", &format!("&work={work_ms}"));
+            let mut client = gateways[0].client();
+            client.send(&text);
+            WaitingClient { key, text, client }
+        };
+        let clients = works_ms.iter().enumerate().map(send).collect();
+        backends.wait_for_attempts(works_ms.len());
+        let services = (discovery, counter);
+        OwnedRequests { severed, backends, owner, gateways, clients, sent_at, _services: services }
+    }
+
+    /// Reads the answers, each of whose clients closes its connection then.
+    fn answers(&mut self) -> Vec<Answer> {
+        let answers = read_answers(std::mem::take(&mut self.clients));
+        let late: Vec<&Answer> = answers.iter().filter(|answer| answer.at > self.sent_at + BUDGET).collect();
+        assert!(late.is_empty(), "answered late: {late:?}");
+        answers
+    }
+}
+
+fn read_answers(clients: Vec<WaitingClient>) -> Vec<Answer> {
+    let read = |WaitingClient { key, mut client, .. }| {
+        thread::spawn(move || {
+            let status = client.read_response().expect("an answer").status();
+            Answer { key, status, at: Instant::now() }
+        })
+    };
+    let readers: Vec<_> = clients.into_iter().map(read).collect();
+    readers.into_iter().map(|reader| reader.join().expect("the reader ends")).collect()
+}
+
+/// Returns the attempts once the other gateways have had time to finish abandoned requests.
+fn attempts_in_the_end(owned: &OwnedRequests) -> Vec<Attempt> {
+    thread::sleep(Duration::from_millis(3_000));
+    owned.backends.attempts()
+}
+
+fn wait_for_vote(gateway: &Gateway) {
+    let deadline = Instant::now() + 2 * WAIT_TIMEOUT;
+    while gateway.metric("fleet.ledger.votes") == 0 {
+        assert!(Instant::now() < deadline, "the gateway has no vote");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+// Guards against other gateways that act for an owner whom they merely can't hear, after it has answered its clients.
+#[test]
+fn requests_of_a_gateway_that_is_cut_off_are_not_sent_again_after_their_answers() {
+    let mut owned = OwnedRequests::start(&[40, 90, 150, 210, 270, 340, 500, 700, 1_200, 1_900]);
+    owned.severed.store(true, Ordering::SeqCst);
+    let answers = owned.answers();
+    check_attempts(&answers, &attempts_in_the_end(&owned));
+    // Those that end while the lease runs have their answer, although it is given late.
+    let served = answers.iter().filter(|answer| answer.status == 200).count();
+    assert!(served >= 4, "{answers:?}");
+}
+
+// Guards against clients that wait for their whole budget although the others are heard again.
+#[test]
+fn requests_of_a_gateway_that_is_cut_off_for_a_moment_are_served_once_the_others_are_heard_again() {
+    let mut owned = OwnedRequests::start(&[150, 400, 700]);
+    owned.severed.store(true, Ordering::SeqCst);
+    thread::sleep(Duration::from_millis(1_500));
+    owned.severed.store(false, Ordering::SeqCst);
+    let answers = owned.answers();
+    assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+    check_attempts(&answers, &attempts_in_the_end(&owned));
+}
+
+/// Waits until the other gateways have finished this many requests.
+fn wait_until_finished(owned: &OwnedRequests, others: &[&Gateway], count: u64) {
+    let deadline = Instant::now() + Duration::from_millis(2_500);
+    let finished = || -> u64 { others.iter().map(|gateway| gateway.metric("fleet.ledger.finished")).sum() };
+    while finished() < count {
+        assert!(Instant::now() < deadline, "{} finished: {:?}", finished(), owned.backends.attempts());
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+// Guards against abandoned work: behind the same links, the others finish the requests of a gateway that was killed.
+#[test]
+fn requests_of_a_gateway_that_was_killed_are_finished_by_the_others() {
+    let mut owned = OwnedRequests::start(&[1_000, 1_700, 2_500]);
+    owned.gateways[0].child.kill().expect("the process is killed");
+    owned.gateways[0].child.wait().expect("the process exits");
+    wait_until_finished(&owned, &[&owned.gateways[1], &owned.gateways[2]], 3);
+    assert_eq!(owned.backends.attempts().len(), 6);
+}
+
+// Guards against claims that are dropped at a hand-over, so that other gateways send the requests of the predecessor again.
+#[test]
+fn requests_in_progress_at_a_replaced_process_are_sent_once() {
+    let works_ms = [500, 900, 1_300, 1_700, 2_100, 2_500];
+    let mut owned = OwnedRequests::start(&works_ms);
+    let successor = owned.owner.start();
+    wait_until_serving(&successor);
+    // Repeats at the successor follow the record.
+    let repeat = |waiting: &WaitingClient| {
+        let mut client = successor.client();
+        client.send(&waiting.text);
+        WaitingClient { key: waiting.key.clone(), text: String::new(), client }
+    };
+    let repeats: Vec<WaitingClient> = owned.clients[4..].iter().map(repeat).collect();
+    thread::sleep(Duration::from_millis(300));
+    owned.gateways[0].terminate();
+    let answers = owned.answers();
+    let repeated = read_answers(repeats);
+    let attempts = attempts_in_the_end(&owned);
+    assert!(answers.iter().chain(&repeated).all(|answer| answer.status == 200), "{answers:?} {repeated:?}");
+    assert_eq!(attempts.len(), works_ms.len(), "{attempts:?}");
+    assert_eq!(owned.gateways[0].wait_for_exit(), Some(0));
+}
+
+// Guards against abandoned work: a predecessor that is killed after the hand-over is no longer heard from.
+#[test]
+fn requests_of_a_replaced_process_that_was_killed_are_finished_by_the_others() {
+    let mut owned = OwnedRequests::start(&[1_600, 1_900, 2_500]);
+    let successor = owned.owner.start();
+    wait_until_serving(&successor);
+    thread::sleep(Duration::from_millis(200));
+    owned.gateways[0].child.kill().expect("the process is killed");
+    owned.gateways[0].child.wait().expect("the process exits");
+    wait_until_finished(&owned, &[&successor, &owned.gateways[1], &owned.gateways[2]], 3);
+    assert_eq!(owned.backends.attempts().len(), 6);
+}
--- a/tests/sockets/takeover.rs
+++ b/tests/sockets/takeover.rs
@@ -2,7 +2,7 @@
 //! killed, and is answered from the ledger once complete.
 
 use crate::world::*;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -25,10 +25,7 @@
 /// Writes the cluster files of three gateways with this lifetime of the ledger's records and with these
 /// further lines and tables.
 fn cluster_files_with_lifetime(lifetime_ms: u64, extra_sections: &str) -> Vec<PathBuf> {
-    let reserved: Vec<UdpSocket> =
-        GATEWAY_NAMES.iter().map(|_| UdpSocket::bind("127.0.0.1:0").expect("a port")).collect();
-    let addresses: Vec<SocketAddr> =
-        reserved.iter().map(|socket| socket.local_addr().expect("the socket is bound")).collect();
+    let addresses: Vec<SocketAddr> = GATEWAY_NAMES.iter().map(|_| free_udp_address()).collect();
     let peers: Vec<String> = GATEWAY_NAMES
         .iter()
         .zip(&addresses)
