Pass a maintenance order on to the process that serves

What callers saw: an order to take a backend out, or to put it back, that a new process had answered with yes before it took over was forgotten: the backend got its full share from then on.

Cause: the new process applied the order to itself alone. The process that served never heard of it, and its state replaced the order at the take-over.

Mend: before the take-over an order goes to the process that serves, as the first message of a connection of its own, and is confirmed by it before the yes. One that could not be confirmed is applied again after the take-over and relayed. Orders between two processes wait while the queue is full, and apply to a backend that the other process lists later; both were dropped before.

The tests of replacement, runtime and handover passed.

--- a/src/decision/load_balancing/balancer.rs
+++ b/src/decision/load_balancing/balancer.rs
@@ -83,8 +83,12 @@
 
     /// Applies an operator's change of an endpoint's maintenance, and returns whether it changed anything.
     /// Maintenance takes precedence over the list: in maintenance, the endpoint counts as draining. An
-    /// endpoint that returns from maintenance may have restarted meanwhile, so it begins a slow start.
+    /// endpoint that returns from maintenance may have restarted meanwhile, so it begins a slow start. An endpoint may be in
+    /// maintenance before it is listed.
     pub(crate) fn set_maintenance(&mut self, id: EndpointId, in_maintenance: bool, now: Micros) -> bool {
+        if in_maintenance {
+            self.endpoints.entry(id).or_insert_with(EndpointState::unknown);
+        }
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return false };
         if endpoint.in_maintenance == in_maintenance {
             return false;
--- a/src/proxy/admin/call.rs
+++ b/src/proxy/admin/call.rs
@@ -9,6 +9,7 @@
 use super::stats;
 use crate::proxy::cluster_transport::ClusterTransport;
 use crate::proxy::lifecycle::drain::Lifecycle;
+use crate::proxy::lifecycle::handover::Handover;
 use crate::proxy::memory_budget::MemoryBudget;
 use crate::proxy::runtime::messages::{AdminCommand, AdminSender};
 use hyper::body::Incoming;
@@ -32,6 +33,8 @@
     pub memory: Rc<MemoryBudget>,
     /// Whether the gateway serves, drains or shuts down.
     pub lifecycle: Rc<Lifecycle>,
+    /// Hand-over between two processes of this gateway, if one can replace another.
+    pub handover: Option<Rc<Handover>>,
     /// The cluster, if the gateway is part of one.
     pub cluster: Option<Rc<ClusterTransport>>,
     /// Names of this site that routing rules may use.
@@ -166,9 +169,15 @@
 }
 
 async fn set_maintenance(endpoint: String, in_maintenance: bool, context: &AdminContext) -> AdminReply {
-    let command = |reply| AdminCommand::SetMaintenance { endpoint, in_maintenance, relayed: false, reply };
+    let relayed = match &context.handover {
+        Some(handover) => handover.relay_before_take_over(&endpoint, in_maintenance).await,
+        None => false,
+    };
+    let command = |reply| AdminCommand::SetMaintenance { endpoint, in_maintenance, relayed, reply };
     match ask_runtime(context, command).await {
         Some(true) => AdminReply::done(),
+        // The process that serves knows the endpoint.
+        Some(false) if relayed => AdminReply::done(),
         Some(false) => AdminReply::text(StatusCode::NOT_FOUND, "no such backend\n"),
         None => AdminReply::runtime_timeout(),
     }
--- a/src/proxy/lifecycle/handover.rs
+++ b/src/proxy/lifecycle/handover.rs
@@ -31,6 +31,9 @@
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(3);
 /// How often the predecessor reports its number of client connections.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time-out of an order to a process that serves and that this one has not taken over from yet. Operators are promised an
+/// answer within 1 s, of which the runtime may take 0.7 s.
+const EARLY_ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Capacity of the queue of messages from the runtime to the other process.
 const MAX_QUEUED_MESSAGES: usize = 64;
 
@@ -95,6 +98,23 @@
         tokio::task::spawn_local(self.clone().follow_predecessor(connection, outgoing));
     }
 
+    /// Passes an operator's order on to the process that serves, if this one has not taken over from it yet. Returns whether
+    /// that process has carried it out, so that the order is part of the state that it hands over.
+    pub async fn relay_before_take_over(&self, endpoint: &str, in_maintenance: bool) -> bool {
+        if self.lifecycle.state().may_join_cluster {
+            return false;
+        }
+        let order = HandoverMessage::SetMaintenance { endpoint: endpoint.to_string(), in_maintenance };
+        let exchange = async {
+            let mut connection = HandoverConnection::new(UnixStream::connect(&self.socket_path).await?);
+            connection.send(&order).await?;
+            connection.receive().await
+        };
+        // An older build closes the connection, and so does one that does not know the endpoint.
+        let reply = within(EARLY_ORDER_TIMEOUT, exchange).await;
+        matches!(reply, Ok(Ok(HandoverMessage::SetMaintenance { .. })))
+    }
+
     /// Exchanges messages with the predecessor until it exits.
     async fn follow_predecessor(
         self: Rc<Handover>,
@@ -160,6 +180,10 @@
             let mut connection = HandoverConnection::new(stream);
             match connection.receive_within(STEP_TIMEOUT).await {
                 Ok(HandoverMessage::Hello) => {}
+                Ok(HandoverMessage::SetMaintenance { endpoint, in_maintenance }) => {
+                    self.carry_out_early_order(&mut connection, endpoint, in_maintenance).await;
+                    continue;
+                }
                 Ok(_) => continue,
                 Err(error) => {
                     error.log();
@@ -172,6 +196,22 @@
         }
     }
 
+    /// Carries out an order that an operator gave to a process that has not taken over yet, and confirms it.
+    async fn carry_out_early_order(
+        &self,
+        connection: &mut HandoverConnection,
+        endpoint: String,
+        in_maintenance: bool,
+    ) {
+        let confirmation = HandoverMessage::SetMaintenance { endpoint: endpoint.clone(), in_maintenance };
+        let command =
+            |reply| AdminCommand::SetMaintenance { endpoint, in_maintenance, relayed: false, reply };
+        if self.command(command).await == Some(true) {
+            // Without the confirmation the other process repeats the order once it has taken over.
+            let _ = connection.send(&confirmation).await;
+        }
+    }
+
     /// Hands the gateway over and returns when the successor has exited. Returns an error if the snapshot could not
     /// be sent.
     async fn hand_over(&self, mut connection: HandoverConnection) -> Result<(), HandoverError> {
--- a/src/proxy/runtime.rs
+++ b/src/proxy/runtime.rs
@@ -31,7 +31,7 @@
 use endpoints::EndpointStart;
 use requests::{OpenRequest, RequestTable};
 use routing::ActiveRollout;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use timers::Timers;
@@ -86,6 +86,9 @@
     list_revision: u64,
     /// Sends messages to the other process of this gateway, while there is one.
     other_process: Option<mpsc::Sender<HandoverMessage>>,
+    /// Operators' orders, by endpoint, that were given before this process took over from another, which has not confirmed
+    /// them.
+    early_maintenance: BTreeMap<String, bool>,
     requests: RequestTable,
     timers: Timers,
     /// Events that are passed to the decision module at the next tick.
@@ -140,6 +143,7 @@
             endpoint_starts: HashMap::new(),
             list_revision: 0,
             other_process: None,
+            early_maintenance: BTreeMap::new(),
             requests: RequestTable::default(),
             timers: Timers::default(),
             pending_events: Vec::new(),
--- a/src/proxy/runtime/admin_commands.rs
+++ b/src/proxy/runtime/admin_commands.rs
@@ -2,11 +2,10 @@
 
 use super::messages::AdminCommand;
 use super::Runtime;
-use crate::decision::Event;
+use crate::decision::{EndpointId, Event};
 use crate::proxy::control_plane::discovery::EndpointList;
 use crate::proxy::lifecycle::handover::{HandoverMessage, HandoverSnapshot};
-use tokio::sync::mpsc;
-use tracing::warn;
+use tokio::sync::mpsc::{self, error::TrySendError};
 
 /// Quarters of the connections and the memory that the predecessor reserves for its successor, which accepts all new
 /// requests.
@@ -40,30 +39,42 @@
         }
     }
 
-    /// Takes an endpoint out of service, or puts it back. Returns whether an endpoint with this name exists.
-    fn set_maintenance(&mut self, name: String, in_maintenance: bool, relayed: bool) -> bool {
-        let Some(endpoint) = self.site.known_endpoint_id(&name) else { return false };
-        if !self.backends.contains_key(&endpoint) && !self.gateway.is_in_maintenance(endpoint) {
-            return false;
-        }
+    /// Takes an endpoint out of service, or puts it back. Returns whether an endpoint with this name exists. One that the other
+    /// process knows may come in this process's list later, and keeps its maintenance until then.
+    pub(super) fn set_maintenance(&mut self, name: String, in_maintenance: bool, relayed: bool) -> bool {
+        let endpoint = match relayed {
+            true => self.site.endpoint_id(&name),
+            false => match self.site.known_endpoint_id(&name) {
+                Some(endpoint) if self.has_endpoint(endpoint) => endpoint,
+                _ => return false,
+            },
+        };
         if let Some(backend) = self.backends.get(&endpoint) {
             // Open connections will be stale once the backend has restarted.
             self.pool.close_idle(backend.address);
         }
         self.pending_events.push(Event::MaintenanceChanged { endpoint, in_maintenance });
         self.run_tick();
-        // The other process still sends to this backend as well, so the command is relayed to it.
-        if let Some(other) = self.other_process.as_ref().filter(|_| !relayed) {
-            let message = HandoverMessage::SetMaintenance { endpoint: name, in_maintenance };
-            if other.try_send(message).is_err() {
-                warn!("maintenance command not relayed to the other process; it keeps its previous state");
+        match (relayed, &self.other_process) {
+            (true, _) => drop(self.early_maintenance.remove(&name)),
+            // The other process still sends to this backend as well, so the command is relayed to it.
+            (false, Some(other)) => {
+                relay(other, HandoverMessage::SetMaintenance { endpoint: name, in_maintenance });
+            }
+            (false, None) if !self.lifecycle.state().may_join_cluster => {
+                self.early_maintenance.insert(name, in_maintenance);
             }
+            (false, None) => {}
         }
         true
     }
 
+    fn has_endpoint(&self, endpoint: EndpointId) -> bool {
+        self.backends.contains_key(&endpoint) || self.gateway.is_in_maintenance(endpoint)
+    }
+
     /// Returns the state for the successor, and reserves connections and memory for it.
-    fn hand_over(&mut self, messages: mpsc::Sender<HandoverMessage>) -> HandoverSnapshot {
+    pub(super) fn hand_over(&mut self, messages: mpsc::Sender<HandoverMessage>) -> HandoverSnapshot {
         self.reserve_for_other_process(Some(messages), SUCCESSOR_QUARTERS);
         self.run_tick();
         let endpoints = self.discovered_endpoints.values().cloned().collect();
@@ -73,13 +84,17 @@
     }
 
     /// Takes over the state of the predecessor, and reserves connections and memory for it.
-    fn take_over(&mut self, snapshot: HandoverSnapshot, messages: mpsc::Sender<HandoverMessage>) {
+    pub(super) fn take_over(&mut self, snapshot: HandoverSnapshot, messages: mpsc::Sender<HandoverMessage>) {
         self.reserve_for_other_process(Some(messages), PREDECESSOR_QUARTERS);
         if snapshot.endpoints.revision > self.list_revision {
             self.apply_endpoint_list(snapshot.endpoints);
         }
         self.run_tick();
         self.gateway.take_over(snapshot.decision_state);
+        // The predecessor's state is older than the orders of which it has not heard.
+        for (endpoint, in_maintenance) in std::mem::take(&mut self.early_maintenance) {
+            self.set_maintenance(endpoint, in_maintenance, false);
+        }
     }
 
     /// Reserves the given quarters of the connections and the memory for the other process, if there is one.
@@ -92,3 +107,12 @@
         }
     }
 }
+
+/// Sends a message to the other process. While the queue is full, a task waits; messages keep their order, as free places go
+/// to those that wait first. If that process has exited, nothing is owed to it.
+fn relay(other: &mpsc::Sender<HandoverMessage>, message: HandoverMessage) {
+    if let Err(TrySendError::Full(message)) = other.try_send(message) {
+        let other = other.clone();
+        tokio::task::spawn_local(async move { other.send(message).await });
+    }
+}
--- a/src/proxy/runtime/tests.rs
+++ b/src/proxy/runtime/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of attempts for clients that have disconnected, and of what a gateway admits without the counter after a
 //! hand-over.
 
-use super::{Clock, FinalResponse, NewRequest, Runtime, RuntimeEvent, SharedParts};
+use super::{Clock, FinalResponse, HandoverMessage, NewRequest, Runtime, RuntimeEvent, SharedParts};
 use crate::decision::{Action, Arrival, CustomerId, Event, Micros, Outcome, RequestId};
 use crate::proxy::control_plane::config::Config;
 use crate::proxy::memory_budget::MemoryBudget;
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 use std::rc::Rc;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 const CONFIG: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","counter":"127.0.0.1:1",
     "seed":"1","known":{"revision":1,"complete":true,"members":[
@@ -120,3 +120,55 @@
     });
     assert!(is_reported, "the end of the attempt is not reported: {:?}", runtime.pending_events);
 }
+
+// Guards against orders that are forgotten as the state of a predecessor that has not heard of them is taken over.
+#[test]
+fn an_order_that_was_given_before_the_take_over_outlives_it_and_reaches_the_predecessor() {
+    for in_maintenance in [true, false] {
+        let (mut predecessor, mut successor) = (runtime(), runtime());
+        assert!(predecessor.set_maintenance("s-1".to_string(), !in_maintenance, false));
+        assert!(successor.set_maintenance("s-1".to_string(), in_maintenance, false));
+        assert!(!successor.set_maintenance("s-2".to_string(), in_maintenance, false), "an unknown endpoint");
+        let (messages, mut to_predecessor) = mpsc::channel(4);
+        let snapshot = predecessor.hand_over(mpsc::channel(4).0);
+        successor.take_over(snapshot, messages);
+        let endpoint = successor.site.known_endpoint_id("s-1").expect("a known endpoint");
+        assert_eq!(successor.gateway.is_in_maintenance(endpoint), in_maintenance);
+        let relayed = serde_json::to_string(&to_predecessor.try_recv().expect("a message")).expect("JSON");
+        assert_eq!(relayed, format!(r#"{{"Maintain":{{"id":"s-1","out":{in_maintenance}}}}}"#));
+        assert!(to_predecessor.try_recv().is_err(), "each order is relayed once");
+    }
+}
+
+// Guards against orders that the other process never hears of, as many come at once.
+#[tokio::test]
+async fn orders_reach_the_other_process_in_order_although_its_queue_is_full() {
+    const ORDERS: usize = 20;
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let mut runtime = runtime();
+            let (messages, mut to_other) = mpsc::channel(2);
+            let _ = runtime.hand_over(messages);
+            for number in 0..ORDERS {
+                assert!(runtime.set_maintenance("s-1".to_string(), number % 2 == 0, false));
+            }
+            for number in 0..ORDERS {
+                let message = to_other.recv().await.expect("a message");
+                let is_out = matches!(message, HandoverMessage::SetMaintenance { in_maintenance: true, .. });
+                assert_eq!(is_out, number % 2 == 0, "order {number}");
+            }
+        })
+        .await;
+}
+
+// Guards against orders that are lost on a process whose endpoint list is behind the other's.
+#[test]
+fn a_relayed_order_applies_to_an_endpoint_that_is_listed_later() {
+    let mut runtime = runtime();
+    assert!(runtime.set_maintenance("s-9".to_string(), true, true));
+    let list = r#"{"revision":2,"complete":true,"members":[
+        {"id":"s-9","host_port":"127.0.0.1:9","locality":"a","phase":"ready"}]}"#;
+    runtime.apply_endpoint_list(serde_json::from_str(list).expect("an endpoint list"));
+    runtime.run_tick();
+    assert_eq!(runtime.gateway.endpoint_counts(runtime.clock.now()).excluded, 1);
+}
--- a/src/proxy/startup.rs
+++ b/src/proxy/startup.rs
@@ -100,19 +100,19 @@
     if let Some(transport) = &transport {
         plan.start_cluster(transport, &services).await?;
     }
-    plan.start_admin(&parts, &commands, transport.clone()).await?;
+    let permits = Rc::new(Permits::new(parts.memory.sockets().served_clients()));
+    let (other_process_sender, other_process_connections) = watch::channel(0);
+    let cluster_to_join = transport.clone();
+    let ledger = transport.clone().filter(|transport| transport.has_ledger());
+    let other_process = OtherProcess { connections: other_process_sender, ledger: ledger.clone() };
+    let handover = plan.handover(address, commands.clone(), &parts, permits.clone(), other_process);
+    plan.start_admin(&parts, &commands, transport, handover.clone()).await?;
     info!(name = plan.name, %address, "listening");
     spawn_local(begin_shutdown(stopping, parts.lifecycle.clone()));
     let (runtime_sender, metrics) = (sender.clone(), parts.metrics.clone());
     spawn_local(follow_services(services, plan.known_revision, plan.timing, runtime_sender, metrics));
     let runtime_task = spawn_local(runtime.run());
-    let permits = Rc::new(Permits::new(parts.memory.sockets().served_clients()));
     spawn_local(return_freed_memory(parts.memory.clone(), permits.clone()));
-    let (other_process_sender, other_process_connections) = watch::channel(0);
-    let cluster_to_join = transport.clone();
-    let ledger = transport.filter(|transport| transport.has_ledger());
-    let other_process = OtherProcess { connections: other_process_sender, ledger: ledger.clone() };
-    let handover = plan.handover(address, commands, &parts, permits.clone(), other_process);
     let context = Rc::new(plan.proxy_context(&parts, sender, permits, ledger.clone()));
     if let Some(ledger) = ledger {
         plan.serve_cluster_requests(&context, &ledger, &parts, writes_to_forward, requests_to_finish);
@@ -312,6 +312,7 @@
         parts: &SharedParts,
         commands: &AdminSender,
         transport: Option<Rc<ClusterTransport>>,
+        handover: Option<Rc<Handover>>,
     ) -> Result<(), RunError> {
         let Some(operators) = self.operators else { return Ok(()) };
         let listener = TcpListener::bind(operators).await.map_err(cannot_listen(operators))?;
@@ -322,6 +323,7 @@
             metrics: parts.metrics.clone(),
             memory: parts.memory.clone(),
             lifecycle: parts.lifecycle.clone(),
+            handover,
             cluster: transport,
             names: self.known_names(),
         };
--- a/tests/sockets/replacement.rs
+++ b/tests/sockets/replacement.rs
@@ -244,3 +244,65 @@
         assert!(stderr.lines().count() == 1 && stderr.contains(expected_word), "{expected_word}: {stderr}");
     }
 }
+
+/// Starts a gateway and its successor, whose discovery is silent, so that it takes over about a second after its start.
+fn start_slow_replacement(backends: &[&Stub]) -> (Platform, Gateway, Gateway, (Discovery, Stub, Stub)) {
+    let entry = |(number, backend): (usize, &&Stub)| {
+        backend_entry(&format!("s-{}", number + 1), backend.address, "ready")
+    };
+    let members = backends.iter().enumerate().map(entry).collect::<Vec<_>>().join(",");
+    let (discovery, silent) = (Discovery::start(&members), Stub::start(|_| Reply::Silence));
+    let (counter, platform) = (counter_stub(), Platform::new());
+    let known = format!("{{\"known\":{},", endpoint_list(7, true, &members));
+    let config_with = |discovery| config(discovery, counter.address).replacen('{', &known, 1);
+    let predecessor = Gateway::spawn(platform.command(&config_with(discovery.stub.address)));
+    wait_until_serving(&predecessor);
+    let successor = Gateway::spawn(platform.command(&config_with(silent.address)));
+    (platform, predecessor, successor, (discovery, counter, silent))
+}
+
+/// Sends requests for this long, each on a new connection.
+fn send_requests(gateway: &Gateway, time: Duration) {
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        assert_eq!(gateway.client().round_trip(&request("look", 3000)).status(), 200);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+// Guards against a yes to an order that neither the process that serves has heard of, nor the one that takes over keeps.
+#[test]
+fn an_order_to_a_process_that_has_not_taken_over_applies_at_once_and_after_the_take_over() {
+    let (first, second) = (Stub::start(|_| http("200 OK", "1")), Stub::start(|_| http("200 OK", "2")));
+    let (_platform, predecessor, successor, _services) = start_slow_replacement(&[&first, &second]);
+    assert_eq!(successor.admin_call("POST", "/backends/s-1/maint").status(), 200);
+    assert_eq!(successor.admin_call("POST", "/backends/s-7/maint").status(), 404, "an unknown backend");
+    assert_eq!(successor.admin_call("GET", "/healthcheck").status(), 503, "not taken over yet");
+    let requests_before = first.requests().len();
+    send_requests(&predecessor, Duration::from_millis(300));
+    assert_eq!(predecessor.metric("backends_excluded"), 1, "the process that serves has the order");
+    wait_until_serving(&successor);
+    send_requests(&predecessor, Duration::from_millis(500));
+    assert_eq!(successor.metric("backends_excluded"), 1);
+    assert_eq!(first.requests().len(), requests_before, "no request goes to the backend in maintenance");
+    // The call that puts it back reaches both.
+    assert_eq!(successor.admin_call("POST", "/backends/s-1/ready").status(), 200);
+    predecessor.wait_for_metric("backends_excluded", 0);
+    assert_eq!(successor.metric("backends_excluded"), 0);
+}
+
+// Guards against a call that puts a backend back, and that is forgotten at the take-over.
+#[test]
+fn a_backend_that_is_put_back_at_a_process_that_has_not_taken_over_is_used_again() {
+    let (first, second) = (Stub::start(|_| http("200 OK", "1")), Stub::start(|_| http("200 OK", "2")));
+    let (_platform, predecessor, successor, _services) = start_slow_replacement(&[&first, &second]);
+    assert_eq!(predecessor.admin_call("POST", "/backends/s-1/maint").status(), 200);
+    assert_eq!(successor.admin_call("POST", "/backends/s-1/ready").status(), 200);
+    assert_eq!(successor.admin_call("GET", "/healthcheck").status(), 503, "not taken over yet");
+    assert_eq!(predecessor.metric("backends_excluded"), 0);
+    wait_until_serving(&successor);
+    assert_eq!(successor.metric("backends_excluded"), 0);
+    let requests_before = first.requests().len();
+    send_requests(&predecessor, Duration::from_millis(500));
+    assert!(first.requests().len() > requests_before, "the backend is used again");
+}
