Split the start, the ledger's node and the clients' connections by subject

Moves only: what the start needs of the configuration goes to start_plan.rs, the opening of claims and their counts out of ledger/node.rs, and the state of one client connection out of idle_connections.rs.

--- a/src/cluster/ledger/mod.rs
+++ b/src/cluster/ledger/mod.rs
@@ -8,6 +8,7 @@
 //! * [`Replica`] stores records for all gateways of the cluster (Paxos acceptor).
 //! * [`LedgerNode`] combines the claims and the replica of one gateway.
 
+mod claim_counts;
 mod client;
 mod message;
 mod node;
@@ -16,9 +17,10 @@
 mod replica;
 mod settings;
 
+pub use claim_counts::ClaimCounts;
 pub use client::{AddressedMessage, ClaimOutcome, LedgerClient, RecordChange};
 pub use message::{LedgerMessage, RecordSnapshot};
-pub use node::{ClaimCounts, ClaimId, LedgerEffect, LedgerNode, LEDGER_TICK_INTERVAL};
+pub use node::{ClaimId, LedgerEffect, LedgerNode, LEDGER_TICK_INTERVAL};
 pub use placement::{replicas_among, replicas_of};
 pub use record::{Ballot, Record, RecordId, RecordedAttempt, SentAttempt};
 pub use replica::abandoned::AbandonedRequest;
--- a/src/cluster/ledger/node.rs
+++ b/src/cluster/ledger/node.rs
@@ -1,9 +1,11 @@
 //! Ledger of one gateway: its open claims and its replica.
 
+mod open;
+
+use super::claim_counts::ClaimCounts;
 use super::client::{AddressedMessage, ClaimOutcome, LedgerClient, RecordChange};
 use super::message::LedgerMessage;
-use super::placement::{replicas_among, replicas_of};
-use super::record::{Ballot, RecordId};
+use super::placement::replicas_of;
 use super::replica::abandoned::AbandonedRequest;
 use super::replica::Replica;
 use super::settings::LedgerSettings;
@@ -15,12 +17,8 @@
 
 /// Interval at which `LedgerNode::tick` is to be called.
 pub const LEDGER_TICK_INTERVAL: Micros = Micros(20_000);
-/// Maximum number of open claims; further requests proceed without a record.
-const MAX_CLAIMS: usize = 10_000;
 /// Time for which a released claim waits for the confirmation of its last write.
 const RELEASE_TIMEOUT: Micros = Micros(500_000);
-/// Minimum number of seats of a group, so that the group tolerates the failure of one of them.
-const MIN_GROUP_SEATS: usize = 3;
 /// Interval at which expired entries are removed from the replica.
 const EXPIRY_INTERVAL: Micros = Micros(500_000);
 /// Interval at which the replica is searched for abandoned requests.
@@ -50,37 +48,6 @@
     RequestAbandoned(AbandonedRequest),
 }
 
-/// Numbers of claims by outcome. The serialized field names are keys of the JSON served to operators.
-#[derive(Debug, Clone, Default, serde::Serialize)]
-pub struct ClaimCounts {
-    /// Claims opened.
-    pub claims: u64,
-    /// Claims that acquired their record.
-    #[serde(rename = "clear")]
-    pub acquired: u64,
-    /// Acquired records that existed before.
-    pub taken_over: u64,
-    /// Claims that found the request in progress under another claim.
-    #[serde(rename = "running")]
-    pub in_progress: u64,
-    /// Claims that found the request completed.
-    #[serde(rename = "answered")]
-    pub completed: u64,
-    /// Claims that found a different request under the same idempotency key.
-    #[serde(rename = "mistakes")]
-    pub key_reused: u64,
-    /// Claims without a quorum of the replicas.
-    #[serde(rename = "unheld")]
-    pub unavailable: u64,
-    /// Claims whose record was taken over by another owner.
-    pub lost: u64,
-    /// Requests that proceeded without a record, as its replicas did not confirm in time.
-    pub unprotected: u64,
-    /// Requests of failed owners that this gateway was asked to finish.
-    #[serde(rename = "orphans")]
-    pub abandoned: u64,
-}
-
 /// Which process in this seat has the claims and the replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SeatState {
@@ -175,72 +142,6 @@
         self.claims.get(&claim).map(|open| &open.client)
     }
 
-    /// Opens a claim of a record. `reachable` tells whether a seat can be contacted. Returns `None` if
-    /// `MAX_CLAIMS` claims are open.
-    pub fn open(
-        &mut self,
-        now: Micros,
-        id: RecordId,
-        request_digest: u64,
-        reachable: impl Fn(u16) -> bool,
-        out: &mut Vec<LedgerEffect>,
-    ) -> Option<ClaimId> {
-        let replicas = replicas_of(id, self.seat_list, self.seats, self.settings.replicas);
-        self.open_with_replicas(now, id, request_digest, replicas, reachable, out)
-    }
-
-    /// Opens a claim of a record whose replicas all belong to a group of seats, so that a quorum within the
-    /// group suffices when the rest of the cluster is unreachable. For a group of fewer than three seats the
-    /// replicas are chosen from the whole cluster instead.
-    pub fn open_in_group(
-        &mut self,
-        now: Micros,
-        id: RecordId,
-        group: &[u16],
-        reachable: impl Fn(u16) -> bool,
-        out: &mut Vec<LedgerEffect>,
-    ) -> Option<ClaimId> {
-        if group.len() < MIN_GROUP_SEATS {
-            return self.open(now, id, 0, reachable, out);
-        }
-        let count =
-            if group.len() < self.settings.replicas { MIN_GROUP_SEATS } else { self.settings.replicas };
-        let replicas = replicas_among(id, self.seat_list, group.iter().copied(), count);
-        self.open_with_replicas(now, id, 0, replicas, reachable, out)
-    }
-
-    fn open_with_replicas(
-        &mut self,
-        now: Micros,
-        id: RecordId,
-        request_digest: u64,
-        mut replicas: Vec<u16>,
-        reachable: impl Fn(u16) -> bool,
-        out: &mut Vec<LedgerEffect>,
-    ) -> Option<ClaimId> {
-        if self.claims.len() >= MAX_CLAIMS {
-            return None;
-        }
-        self.last_claim += 1;
-        self.counts.claims += 1;
-        let claim = self.last_claim;
-        let ballot = Ballot { number: 1, process: self.process, claim };
-        let is_unreachable = |seat: u16| seat != self.own_seat && !reachable(seat);
-        // The local replica comes first, unreachable replicas last.
-        replicas.sort_by_key(|seat| (*seat != self.own_seat, is_unreachable(*seat)));
-        let unreachable: Vec<u16> = replicas.iter().copied().filter(|seat| is_unreachable(*seat)).collect();
-        let settings = LedgerSettings { replicas: replicas.len(), ..self.settings };
-        let mut messages = Vec::new();
-        let client = LedgerClient::begin(id, request_digest, ballot, replicas, settings, now, &mut messages);
-        self.claims.insert(claim, OpenClaim { client, released_at: None });
-        messages.retain(|message| !unreachable.contains(&message.to));
-        self.deliver(now, messages, out);
-        for seat in unreachable {
-            self.on_message(now, seat, LedgerMessage::Abstained { id, ballot }, out);
-        }
-        Some(claim)
-    }
-
     /// Has a claim's request stored at the replicas of its record with the first write.
     pub fn attach_request(&mut self, claim: ClaimId, request: Vec<u8>) {
         if let Some(open) = self.claims.get_mut(&claim) {
@@ -366,19 +267,7 @@
     }
 
     fn resolve(&mut self, claim: ClaimId, outcome: ClaimOutcome, out: &mut Vec<LedgerEffect>) {
-        let counts = &mut self.counts;
-        match &outcome {
-            ClaimOutcome::Acquired { existed, .. } => {
-                counts.acquired += 1;
-                counts.taken_over += u64::from(*existed);
-            }
-            ClaimOutcome::InProgress(_) => counts.in_progress += 1,
-            ClaimOutcome::Completed(_) => counts.completed += 1,
-            ClaimOutcome::KeyReused => counts.key_reused += 1,
-            ClaimOutcome::Unavailable => counts.unavailable += 1,
-            ClaimOutcome::Lost => counts.lost += 1,
-            ClaimOutcome::Confirmed(_) => {}
-        }
+        self.counts.record(&outcome);
         out.push(LedgerEffect::ClaimResolved { claim, outcome });
     }
 
--- a/src/proxy/downstream/client_socket.rs
+++ b/src/proxy/downstream/client_socket.rs
@@ -1,6 +1,7 @@
 //! Socket of a client connection, which records its reads and writes.
 
-use super::idle_connections::{ClientConnection, IdleConnections};
+use super::client_connection::ClientConnection;
+use super::idle_connections::IdleConnections;
 use crate::proxy::tcp_io;
 use rustix::net::{shutdown, Shutdown};
 use std::future::Future;
--- a/src/proxy/downstream/idle_connections.rs
+++ b/src/proxy/downstream/idle_connections.rs
@@ -1,5 +1,6 @@
 //! Client connections: how long each may stay open without a request, and which is closed first when permits are scarce.
 
+use super::client_connection::{ClientConnection, Phase};
 use super::client_input::ClientInput;
 use super::client_output::ClientOutput;
 use super::client_socket::ClientSocket;
@@ -7,7 +8,7 @@
 use crate::decision::{EvictionLimits, Micros};
 use crate::proxy::admin::metrics::ConnectionCloseReason;
 use crate::proxy::lifecycle::drain::Lifecycle;
-use crate::proxy::runtime::clock::{duration, micros, Clock};
+use crate::proxy::runtime::clock::{duration, Clock};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -24,79 +25,6 @@
 /// Interval between checks for connections whose time-out has expired.
 pub const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// What a connection is doing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    /// New connection on which nothing was received yet.
-    New,
-    /// Part of a request head was received.
-    ReadingHead,
-    /// A request is open: its `OpenRequestGuard` exists.
-    RequestOpen,
-    /// Between two requests.
-    Idle,
-    /// The socket is closed.
-    Closed,
-}
-
-/// One connection of a client.
-pub struct ClientConnection {
-    id: u64,
-    phase: Cell<Phase>,
-    /// When the phase began or, while a head is read, when bytes last arrived.
-    last_activity: Cell<Instant>,
-    /// When the request head must be complete.
-    head_deadline: Cell<Instant>,
-    /// Whether part of a response is not written yet.
-    has_unwritten_bytes: Cell<bool>,
-    /// Why the connection is to be closed, unless bytes arrive first.
-    close_reason: Cell<Option<ConnectionCloseReason>>,
-    close_notify: Notify,
-    input: Rc<ClientInput>,
-    output: ClientOutput,
-}
-
-impl ClientConnection {
-    /// Returns when the connection is to be closed, with the reason.
-    pub async fn close_requested(&self) -> ConnectionCloseReason {
-        // Guards against closing a connection on which a request arrived after the notification.
-        loop {
-            if let Some(reason) = self.close_reason.get() {
-                return reason;
-            }
-            self.close_notify.notified().await;
-        }
-    }
-    /// What is known of the input that was not read.
-    pub fn input(&self) -> &Rc<ClientInput> {
-        &self.input
-    }
-    /// What the client has taken of its responses.
-    pub fn output(&self) -> &ClientOutput {
-        &self.output
-    }
-    /// Sets whether part of a response is not written yet.
-    pub fn set_has_unwritten_bytes(&self, unwritten: bool) {
-        self.has_unwritten_bytes.set(unwritten);
-    }
-    fn request_close(&self, reason: ConnectionCloseReason) {
-        self.close_reason.set(Some(reason));
-        self.close_notify.notify_one();
-    }
-    /// Returns for how long the client has sent nothing of the body of its open request, if that is long enough.
-    fn body_inactivity(&self, limits: EvictionLimits) -> Option<Micros> {
-        let waited = micros(self.input.waited_since()?.elapsed());
-        Some(waited).filter(|waited| *waited >= limits.body)
-    }
-    /// Returns for how long the client has read nothing of its response, if that is long enough.
-    fn read_inactivity(&self, limits: EvictionLimits) -> Option<Micros> {
-        self.output.silence(limits.unread)
-    }
-    fn key(&self) -> (Instant, u64) {
-        (self.last_activity.get(), self.id)
-    }
-}
-
 type ByLastActivity = BTreeMap<(Instant, u64), Rc<ClientConnection>>;
 
 /// All connections by phase, the longest inactive first.
@@ -283,20 +211,6 @@
     is_pipelined: bool,
 }
 
-impl std::fmt::Debug for ClientConnection {
-    /// Writes what a log line needs.
-    fn fmt(&self, formatter: &mut std::fmt::Formatter) -> std::fmt::Result {
-        formatter
-            .debug_struct("ClientConnection")
-            .field("number", &self.id)
-            .field("phase", &self.phase.get())
-            .field("for", &self.last_activity.get().elapsed())
-            .field("input", &self.input)
-            .field("output", &self.output)
-            .finish()
-    }
-}
-
 impl std::fmt::Debug for OpenRequestGuard {
     fn fmt(&self, formatter: &mut std::fmt::Formatter) -> std::fmt::Result {
         formatter.debug_struct("OpenRequestGuard").field("connection", &self.connection.id).finish()
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -5,6 +5,7 @@
 //! returns the response ([`client_response`]).
 
 pub(crate) mod accept;
+mod client_connection;
 pub(crate) mod client_input;
 mod client_output;
 pub(crate) mod client_response;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -14,8 +14,10 @@
 mod log_rate_limit;
 pub mod memory_budget;
 pub mod runtime;
+mod start_plan;
 mod startup;
 mod tcp_io;
 pub mod upstream;
 
-pub use startup::{run, RunError};
+pub use start_plan::RunError;
+pub use startup::run;
