Tell every replica that holds a request of its owner's lease

Cause: renewals went to a quorum.

Mend: each write of a record whose request is stored goes to all replicas that have promised.

--- a/src/cluster/ledger/client/write.rs
+++ b/src/cluster/ledger/client/write.rs
@@ -76,11 +76,10 @@
 
     /// Returns the replicas to which the next write is sent first. A quorum that accepted the last write is
     /// enough: if one of its members does not reply, `resend` includes the others. The first write and one
-    /// after an unconfirmed write go to all replicas, and so does a release or completion of a record whose
-    /// request is stored, as every replica that holds the request must learn of it.
+    /// after an unconfirmed write go to all replicas, and so does each write of a record whose request is
+    /// stored: a replica that holds the request and is told nothing offers it as abandoned.
     fn receivers(&self) -> Vec<u16> {
-        let quorum_is_enough =
-            self.is_confirmed() && self.sequence > 0 && (self.record.owned || !self.request_sent);
+        let quorum_is_enough = self.is_confirmed() && self.sequence > 0 && !self.request_sent;
         match quorum_is_enough {
             true => self.accepted_by.iter().copied().take(self.settings.quorum()).collect(),
             false => self.replicas.clone(),
--- a/tests/sockets/ledger_owner.rs
+++ b/tests/sockets/ledger_owner.rs
@@ -5,7 +5,7 @@
 use crate::world::*;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -118,16 +118,8 @@
         }
         gateways.iter().for_each(wait_for_vote);
         let sent_at = Instant::now();
-        let send = |(number, work_ms): (usize, &u64)| {
-            let key = format!("k-{number}");
-            let text = with_new_customer(&request("buy", BUDGET.as_millis() as u32))
-                .replace("k-17", &key)
-                .replace("&x=1", &format!("&work={work_ms}"));
-            let mut client = gateways[0].client();
-            client.send(&text);
-            WaitingClient { key, text, client }
-        };
-        let clients = works_ms.iter().enumerate().map(send).collect();
+        let send = |work_ms: &u64| WaitingClient::send(&gateways[0], *work_ms);
+        let clients = works_ms.iter().map(send).collect();
         backends.wait_for_attempts(works_ms.len());
         let services = (discovery, counter);
         OwnedRequests { severed, backends, owner, gateways, clients, sent_at, _services: services }
@@ -142,6 +134,20 @@
     }
 }
 
+impl WaitingClient {
+    /// Sends a request on a new connection, on which the backend works for this long.
+    fn send(gateway: &Gateway, work_ms: u64) -> WaitingClient {
+        static LAST_KEY: AtomicUsize = AtomicUsize::new(0);
+        let key = format!("k-{}", LAST_KEY.fetch_add(1, Ordering::Relaxed));
+        let text = with_new_customer(&request("buy", BUDGET.as_millis() as u32))
+            .replace("k-17", &key)
+            .replace("&x=1", &format!("&work={work_ms}"));
+        let mut client = gateway.client();
+        client.send(&text);
+        WaitingClient { key, text, client }
+    }
+}
+
 fn read_answers(clients: Vec<WaitingClient>) -> Vec<Answer> {
     let read = |WaitingClient { key, mut client, .. }| {
         thread::spawn(move || {
@@ -235,6 +241,32 @@
     assert_eq!(owned.gateways[0].wait_for_exit(), Some(0));
 }
 
+// Guards against requests that are refused as their claim is opened while the cluster's socket changes hands.
+#[test]
+fn requests_that_arrive_during_a_replacement_are_served_once() {
+    const REQUESTS: usize = 200;
+    let mut owned = OwnedRequests::start(&[]);
+    let predecessor = owned.gateways.remove(0);
+    let (answers, successor) = thread::scope(|scope| {
+        let sender = scope.spawn(|| {
+            let send = |_| {
+                thread::sleep(Duration::from_millis(2));
+                WaitingClient::send(&predecessor, 15)
+            };
+            read_answers((0..REQUESTS).map(send).collect())
+        });
+        thread::sleep(Duration::from_millis(50));
+        let successor = owned.owner.start();
+        (sender.join().expect("the sender ends"), successor)
+    });
+    wait_until_serving(&successor);
+    let attempts = attempts_in_the_end(&owned);
+    check_attempts(&answers, &attempts);
+    let refused: Vec<&Answer> = answers.iter().filter(|answer| answer.status != 200).collect();
+    assert!(refused.is_empty(), "{refused:?}");
+    assert_eq!(attempts.len(), REQUESTS);
+}
+
 // Guards against abandoned work: a predecessor that is killed after the hand-over is no longer heard from.
 #[test]
 fn requests_of_a_replaced_process_that_was_killed_are_finished_by_the_others() {
