--- a/tests/sockets/world/recording.rs
+++ b/tests/sockets/world/recording.rs
@@ -107,11 +107,18 @@
     pub at: Instant,
 }
 
+/// Checks that no attempt began after its client had its answer.
+pub fn check_no_attempt_after_answer(answers: &[Answer], attempts: &[Attempt]) {
+    for later in attempts {
+        let answer = answers.iter().find(|answer| answer.key == later.key).expect("an answer");
+        assert!(later.began <= answer.at + GRACE, "{later:?} began after {answer:?}");
+    }
+}
+
 /// Checks that no attempt began after its client had its answer, or while another attempt of the request was out.
 pub fn check_attempts(answers: &[Answer], attempts: &[Attempt]) {
+    check_no_attempt_after_answer(answers, attempts);
     for (number, later) in attempts.iter().enumerate() {
-        let answer = answers.iter().find(|answer| answer.key == later.key).expect("an answer");
-        assert!(later.began <= answer.at + GRACE, "{later:?} began after {answer:?}");
         let overlaps = |earlier: &&Attempt| {
             earlier.key == later.key && earlier.ended.is_none_or(|end| end > later.began + NOTICE_TIME)
         };
